Use a subset of the servers at each front door

Each door looked at 16 servers drawn anew for each request, so it sent a given server one request in ten seconds.

At fault: the sample over the whole list in Gateway._pick.

--- a/cresspulley/control.py
+++ b/cresspulley/control.py
@@ -28,7 +28,6 @@
 PATIENCE = 4.0  # an attempt out for so many usual times counts against its server
 GOOD_SHARE = 0.35  # an answer in this share of its aim widens the window of attempts, a later one narrows it
 WINDOW, WIDEST = 2.0, 4.0  # attempts of all for each server while half the answers are good; most times that
-LOOK = 16  # servers compared for a request, drawn at random: many gateways with one favourite would drown it
 FADE = 0.1  # share of a server's bad name forgotten each second unused, so that it is tried again
 FAVOUR = 2.0  # most that the window is wider or narrower for a class by its worth for its time
 CROSSING_LEAN = 1.5  # how much faster a server in another zone must look, where crossing costs
@@ -93,11 +92,11 @@
         window = self.window * min(FAVOUR, max(1.0 / FAVOUR, rule.worth / usual / self.value))
         if self.out >= window or (window < 1.0 and self.now - self.last_sent < usual / window):
             return None
-        ready, tied = self.fleet.ready, next((t.server.entry for t in request.tries if t.may_have_run), None)
+        ready, tied = self.fleet.near, next((t.server.entry for t in request.tries if t.may_have_run), None)
         if tied and rule.repeat is Repeat.KEYED and rule.group is not Group.ALL:  # rule 2
             zonal = rule.group is Group.ZONE
-            ready = [s for s in ready if (s.entry.zone == tied.zone if zonal else s.entry.cell == tied.cell)]
-        ready = self.random.sample(ready, min(LOOK, len(ready)))
+            ready = [s for s in self.fleet.ready if (
+                s.entry.zone == tied.zone if zonal else s.entry.cell == tied.cell)]
         tried, best, least = [t.server for t in request.tries], None, math.inf
         for server in (s for s in ready if s not in tried):
             warmth = self.fleet.warmth(server, self.now)
