Let a ceiling's parts follow the demand while the total is fresh

A set has up to ten doors and uneven weights; a tenth of 1.6 to 2.2 times the quota is less than what the busiest door may pass.

At fault: the fixed ceiling / ways in Customer.

Design: 0.7 of the ceiling goes by this door's part of the demand, weighted by the age of the total, the rest stays even. In silence all of it is even again. Rate and depth both follow, so what an idle door has stored shrinks with it.

--- a/cresspulley/control.py
+++ b/cresspulley/control.py
@@ -142,7 +142,7 @@
         for _ in range(FORGOTTEN):
             oldest = self.customers[key := next(iter(self.customers))]
             if (self.now - oldest.asked_at <= KNOWN_FOR or oldest.out or oldest.held
-                    or oldest.refill(self.now) < oldest.ceiling_most):  # a ceiling is not given back early
+                    or not oldest.is_full(self.now)):  # a ceiling is not given back early
                 return
             del self.customers[key]
 
@@ -181,7 +181,7 @@
             lack = request.units - customer.refill(self.now) if customer.plan.ceiling_rate else 0.0
             server = self._pick(request) if lack <= 0 else None
             if server is None:
-                wait = NO_SERVER_PAUSE + int(min(1e9, max(0.0, lack) / max(1e-9, customer.ceiling_rate)))
+                wait = NO_SERVER_PAUSE + customer.filled_in(lack, self.now)
                 if customer.looks_at <= self.now:
                     customer.looks_at = self.now + wait
                     self._plan(customer.looks_at, self._release, customer)
--- a/cresspulley/share.py
+++ b/cresspulley/share.py
@@ -11,6 +11,9 @@
 PERIOD = 8  # fading intervals that one name holds; a new name starts from what was last known
 OWN_ROOM = 1.4  # even parts that an untold customer gets
 FEW, NEAR = 3.0, 0.5  # requests too few to tell a change; of its room: from here a total is asked for sooner
+# Part of a ceiling that goes where the demand is, while the total is fresh; the rest stays in even parts,
+# which hold with no word from the others.
+MOVES = 0.7
 SECOND = 1_000_000
 
 
@@ -47,16 +50,37 @@
         self.total = self.mine_then = self.raw = self.base = self.credit = 0.0
         self.told_at, self.told_index, self.looks_at, self.since = -1, -1, 0, 0
         # An even part; a start may be a restart: half of our slack, and what has flowed in since, is ours.
-        part = ((settings.rank - event.first_gateway) % settings.gateways < self.ways) / self.ways
-        self.ceiling_rate, self.ceiling_most = plan.ceiling_rate * part / SECOND, plan.ceiling_depth * part
-        self.store = min(self.ceiling_most, plan.ceiling_slack * part / 2 + self.ceiling_rate * (now - born))
+        self.even = ((settings.rank - event.first_gateway) % settings.gateways < self.ways) / self.ways
+        self.weight = 1.0  # of the last request
+        flown = plan.ceiling_rate * (now - born) / SECOND
+        self.store = self.even * min(plan.ceiling_depth, plan.ceiling_slack / 2 + flown)
+
+    def part(self, now: int) -> float:
+        """This gateway's part of the ceiling: even, and moved to its part of the demand by a fresh total."""
+        total = self.guess(self.weight) / self.fading if self.told_at >= 0 and self.even else 0.0
+        if total <= 0.0:
+            return self.even
+        here = self.mine * math.exp((self.asked_at - now) / self.own_fading) / self.own_fading
+        moves = MOVES * math.exp((self.told_at - now) / self.fading)
+        return self.even + moves * (min(1.0, here / total) - self.even)
 
     def refill(self, now: int) -> float:  # what the ceiling's part holds, and what all have left of the burst
         flown, self.store_at = now - self.store_at, now
-        self.store = min(self.ceiling_most, self.store + self.ceiling_rate * flown)
+        if self.plan.ceiling_rate:
+            part = self.part(now)
+            filled = self.store + self.plan.ceiling_rate * part * flown / SECOND
+            self.store = min(self.plan.ceiling_depth * part, filled)
         self.left = min(self.plan.burst, self.left + self.plan.rate * flown / SECOND)
         return self.store
 
+    def is_full(self, now: int) -> bool:
+        return self.refill(now) >= self.plan.ceiling_depth * self.part(now)
+
+    def filled_in(self, lack: float, now: int) -> int:
+        """Microseconds until the ceiling's part has filled by so many units."""
+        rate = self.plan.ceiling_rate * self.part(now) / SECOND
+        return int(min(1e9, max(0.0, lack) / max(1e-9, rate)))
+
     def take(self, units: float, weight: float) -> None:
         """A first attempt is sent on; the others send as many times ours as they ask."""
         self.store -= units if self.plan.ceiling_rate else 0.0
@@ -66,6 +90,7 @@
     def ask(self, weight: float, now: int) -> None:
         self.mine = self.mine * math.exp((self.asked_at - now) / self.own_fading) + weight
         self.owed += weight
+        self.weight = weight
         self.asked_at = now
 
     def split(self, here: float, total: float) -> None:  # the local bound from the demand of all gateways
@@ -89,5 +114,5 @@
         self.total += self.base * math.exp((self.since - now) / self.fading)
         if self.told_at < 0 < self.plan.ceiling_rate:  # no restart amid a flood: half of our part is safe
             flood = self.total * SECOND / self.fading / self.plan.ceiling_rate
-            self.store = max(self.store, self.ceiling_most * (0.5 - flood))
+            self.store = max(self.store, self.plan.ceiling_depth * self.even * (0.5 - flood))
         self.raw, self.told_index, self.told_at, self.mine_then = total, index, now, self.mine
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -164,3 +164,52 @@
     """Lost: with an empty store at each of many gateways a ceiling refused most of the first seconds."""
     assert first_sends(0.0) in (2, 3, 4, 5)
     assert first_sends(1e4) == first_sends(0.0, answers=False) == 0
+
+
+CEILING = (plan(rate=6.0, burst=12.0, ceiling_rate=10.0, ceiling_depth=20.0, ceiling_slack=2.0),)
+
+
+def asked_for(desk: Desk, seconds: int, each: int) -> int:
+    """Sends in so many seconds, one request of one unit every `each`."""
+    sent = 0
+    for _ in range(seconds * SECOND // each):
+        sent += len(of(Send, desk.run(each))) + len(of(Send, desk.ask(customer=4, plan=0, gateways=10)[1]))
+        for number in [n for n, r in desk.gateway.requests.items() if any(t.out for t in r.tries)]:
+            desk.end(number, desk.gateway.requests[number].tries[-1].server.entry.server)
+    return sent
+
+
+def test_a_ceiling_goes_where_the_demand_is_and_back_in_silence() -> None:
+    """Lost: with ten gateways a hot one had a tenth of the ceiling, far less than its part of the quota."""
+    desk = Desk(gateways=10, plans=CEILING)
+    asked_for(desk, 4, 200 * MS)
+    assert asked_for(desk, 10, 200 * MS) > 40  # alone it asks 5 units a second of a quota of 6
+    customer = desk.gateway.customers[4, 0]
+    assert customer.part(desk.now) > 0.3  # three even parts
+    desk.counter_answers = False
+    desk.run(20 * SECOND)
+    assert customer.part(desk.now) < 0.11
+
+
+def test_a_ceiling_holds_over_ten_gateways_whose_demand_moves() -> None:
+    """All ask one counter; the demand jumps from one gateway to another, as the busy ones of a set do."""
+    desks = [Desk(gateways=10, plans=CEILING, rank=rank, seed=rank) for rank in range(10)]
+    for desk in desks:
+        desk.counts = desks[0].counts
+    sent: list[int] = []
+    for step in range(400):  # 20 units a second, over three times the quota
+        hot = desks[step // 60 % 10]
+        desk = hot if step % 4 else desks[step % 10]
+        for n, other in enumerate(desks):
+            actions = other.run(50 * MS)
+            if other is desk:
+                actions += other.ask(customer=4, plan=0, gateways=10)[1]
+            for send in of(Send, actions):
+                sent.append(desk.now)
+                desks[n].end(send.request, send.server)
+    assert len(sent) >= 60
+    store, last = 20.0, 0
+    for at in sorted(sent):
+        store = min(20.0, store + 10.0 * (at - last) / SECOND) - 1.0
+        last = at
+        assert store >= -2.0
