--- a/cresspulley/control.py
+++ b/cresspulley/control.py
@@ -24,6 +24,7 @@
 # Further calls are spared after one that was late or turned away, as all gateways together ask too much, and
 # less so after one that was lost; one in time allows more. Level with three in ten late or two in five lost.
 STRAIN_MOST, STRAIN_LATE, STRAIN_LOST, STRAIN_PROMPT = 20.0, 1.3, 1.15, 0.9
+STRAIN_FADES = 10_000_000  # while few calls are made, few answers could tell that the counter is well again
 LATE_SHARE = 0.5  # of the counter's time-out: an answer that takes longer is late
 FIRST_WORK_SHARE = 1 / 6  # a class's service time before any answer, as a share of its aim: high on purpose
 STALL, NO_SERVER_PAUSE = 100_000, 20_000  # woken so late, we stood still; held requests look again after this
@@ -64,6 +65,7 @@
         """Take what happened by `now`; return what to do, in order."""
         if self.agenda and now > self.wake_at + STALL:
             self.woke = now
+        self.strain = 1.0 + (self.strain - 1.0) * math.exp((self.now - now) / STRAIN_FADES)
         self.now, self.actions = now, []
         if self.born < 0:
             self.born = now
