Send Retry-After with every refusal; keep a ceiling even in a set of two

Seen: no refusal carried Retry-After though the settings allow it; the module never set retry_after. All final answers do go out in the turn in which they are decided: refusals by chance at the arrival, others when the time to hold is over, and Door._refuse writes at once. That part needed no change.

A quarter it is.

With two doors in a set an even part of a ceiling holds all of a quota, so there is nothing to gain by moving it: parts move by 1 - 2 / ways.

--- a/cresspulley/control.py
+++ b/cresspulley/control.py
@@ -18,8 +18,8 @@
 from cresspulley.servers import Fleet, Server, Try
 from cresspulley.share import NEAR, SECOND, Customer, Request
 
-# Parts that the chance aims at: of rate, small cap, what is left of a burst. Requests come by chance: with half
-# of a cap of two in use on average, all is a quarter of the time, and a try beyond costs most of its worth.
+# Parts that the chance aims at: of rate, small cap, what is left of a burst. Requests come at random: half of
+# a cap of two in use on average is all of it a quarter of the time, and a try beyond costs most of its worth.
 ROOM, FILL, LEFT = 0.90, 0.5, 0.5
 TELLERS = 25  # gateways that tell in one interval
 KNOWN_FOR, FORGOTTEN = 20_000_000, 4  # a total so old says little; customers forgotten at most for an arrival
@@ -39,6 +39,7 @@
 CROSSING_LEAN = 1.5  # how much faster a server in another zone must look, where crossing costs
 AGAIN_SHARE, AGAIN_MOST = 0.1, 10.0  # further attempts per first, and saved up: no swelling of an overload
 HOLD_SHARE, HOLD_MOST = 0.6, 0.4  # of the aim's spare time that a request may be held; of its own
+ADVICE = 0.25  # of the usual service time: clients told to stay away for longer come too late for the aim
 NEVER_RAN = (Result.TURNED_AWAY, Result.NOT_CONNECTED, Result.NOT_SENT)
 
 
@@ -278,9 +279,15 @@
         rule = self.settings.classes[request.kind]
         free = rule.repeat is Repeat.SAFE or (rule.repeat is Repeat.KEYED and rule.group is Group.ALL)
         promise = free or not any(t.may_have_run for t in request.tries)
-        self.actions.append(Refuse(request.id) if promise else Fail(request.id))
+        self.actions.append(Refuse(request.id, self._advice(request)) if promise else Fail(request.id))
         self._end(request)
 
+    def _advice(self, request: Request) -> int:
+        """When to come back: once some of what is out is answered, soon enough to be served in time."""
+        if not self.settings.may_advise:
+            return 0
+        return int(min(ADVICE * self.usual[request.kind], self.settings.longest_advice))
+
     def _end(self, event: Request | RequestEnded | StreamStarted) -> None:
         """Answered, or the client left, or its answer flows: nothing more is owed."""
         request = event if isinstance(event, Request) else self.requests.get(event.request)
--- a/cresspulley/share.py
+++ b/cresspulley/share.py
@@ -63,7 +63,8 @@
         if total <= 0.0:
             return self.even
         here = self.mine * math.exp((self.asked_at - now) / self.own_fading) / self.own_fading
-        moves = MOVES * math.exp((self.told_at - now) / self.fading)
+        moves = MOVES * max(0.0, 1.0 - 2.0 / self.ways)  # half of it holds all of a quota
+        moves *= math.exp((self.told_at - now) / self.fading)
         return self.even + moves * (min(1.0, here / total) - self.even)
 
     def refill(self, now: int) -> float:  # what the ceiling's part holds, and what all have left of the burst
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -63,7 +63,7 @@
     start = desk.now
     waiting, _ = desk.ask(customer=4, plan=CAPPED)
     desk.run(900 * MS)
-    refused = [at for at, a in desk.log if a == Refuse(waiting)]
+    refused = [at for at, a in desk.log if isinstance(a, Refuse) and a.request == waiting]
     assert len(refused) == 1 and refused[0] < start + 900 * MS
 
 
@@ -438,3 +438,21 @@
 
     assert sent(SECOND) >= 118  # one at a time, each long over when the next one comes
     assert sent(20 * MS) <= 30  # fifty a second that take 0.15 s each would keep seven out
+
+
+def test_a_refusal_goes_out_at_once_and_tells_when_to_return() -> None:
+    """Lost: no refusal said when to come back, so clients came again at once, to be refused again."""
+    desk = Desk(plans=(plan(rate=1.0, burst=2.0),))
+    for _ in range(40):
+        _, actions = desk.ask(plan=0)
+        if refusals := of(Refuse, actions):
+            break
+    assert refusals  # in the same turn as the arrival
+    assert 0 < refusals[0].retry_after <= desk.settings.longest_advice
+    assert refusals[0].retry_after < desk.gateway.usual[0]  # later, the next try could not be in time
+
+
+def test_no_advice_where_the_settings_allow_none() -> None:
+    desk = Desk(plans=(plan(rate=1.0, burst=2.0),), may_advise=False)
+    refusals = [r for _ in range(40) for r in of(Refuse, desk.ask(plan=0)[1])]
+    assert refusals and all(r.retry_after == 0 for r in refusals)
