Write nothing to a backend for a request that has its final answer or lost its client

At fault: Door._final ended the request and left its attempts alone, also those whose connection was still coming up; Backend.connection_made wrote whatever attempt it still had. The same lines sent on a request whose client had left, or that had been refused, while its connection came up.

Ruled out: the module (no Send after the final answer in the logs) and late answers of the clock.

Now the one place where a request ends also ends each attempt that is not written, as never sent.

--- a/irisdeal/backends.py
+++ b/irisdeal/backends.py
@@ -98,10 +98,12 @@
             connection.leave()
         self.on_end(self, result, answer)
 
+    def is_written(self) -> bool:
+        """Whether it may have run: what was never written cannot have, however long the connection took."""
+        return self.connection is not None and self.connection.written
+
     def time_out(self) -> None:
-        # A request that was never written cannot have run, however long the connection took.
-        unwritten = self.connection is None or not self.connection.written
-        self.finish(Result.NOT_CONNECTED if unwritten else Result.TIMED_OUT)
+        self.finish(Result.TIMED_OUT if self.is_written() else Result.NOT_CONNECTED)
 
 
 class Backend(asyncio.Protocol):
--- a/irisdeal/door.py
+++ b/irisdeal/door.py
@@ -128,11 +128,11 @@
             client.gateways, client.is_retry, client.is_write))
 
     def gone(self, client: ClientRequest) -> None:
-        """The client left; attempts that are out go on and still count as out."""
+        """The client left; attempts that are written go on and still count as out."""
         self._leave(client.number)
 
     def give_up(self, client: ClientRequest) -> None:
-        """Its connection ends and cannot wait for it; what is out goes on and counts, as above."""
+        """Its connection ends and cannot wait for it; what is written goes on and counts, as above."""
         self._leave(client.number, lambda client: client.reply(502, b"failed\n"))
 
     def can_serve(self) -> bool:
@@ -174,9 +174,13 @@
             self.post(RequestEnded(number))
 
     def _final(self, number: int, request: Open) -> None:
+        """The one place where a request ends. What is written goes on and counts; nothing new is written."""
         request.final = True
         if request.guard is not None:
             request.guard.cancel()
+        for attempt in request.attempts:
+            if not attempt.is_written():  # its connection still comes up
+                attempt.finish(Result.NOT_SENT)
         if not request.out:
             self.requests.pop(number, None)
         self.unanswered -= 1
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -137,6 +137,24 @@
         return await read_message(reader)
 
 
+class LateConnections:
+    """The pool's loop, with connections to one backend that begin to come up when the test says so."""
+
+    def __init__(self, run: Running, port: int) -> None:
+        self.loop, self.port = run.program.pool.loop, port
+        self.asked, self.go_on = asyncio.Event(), asyncio.Event()
+        run.program.pool.loop = cast(asyncio.AbstractEventLoop, self)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.loop, name)
+
+    async def create_connection(self, made: Callable[[], asyncio.Protocol], host: str, port: int) -> Any:
+        if port == self.port:
+            self.asked.set()
+            await self.go_on.wait()
+        return await self.loop.create_connection(made, host, port)
+
+
 @asynccontextmanager
 async def running(decider: Decider | None = None, **changes: Any) -> AsyncIterator[Running]:
     """The whole program, without its signals; discovery may be nobody."""
