At the end wait for requests still being read, and answer by a time the deadlines give

Now: the time to answer is the longest deadline of the settings, 3 s at most, and 0.7 s less 0.3 s to write; the end is one task that accepts to the last, waits for first requests (0.3 s), then for all that is owed; a connection that closes after an answer is read to its end. A connection closed between requests is still closed unread, so that the client knows to ask again.

--- a/irisdeal/__main__.py
+++ b/irisdeal/__main__.py
@@ -9,11 +9,12 @@
 import signal
 import sys
 import time
+from collections.abc import Callable
 
 import uvloop
 
 from cresspulley.control import Gateway
-from cresspulley.interface import Decider
+from cresspulley.interface import Decider, Settings
 from irisdeal.backends import Pool
 from irisdeal.clients import ClientSide
 from irisdeal.config import Config, ConfigError, load
@@ -23,8 +24,13 @@
 
 log = logging.getLogger("irisdeal")
 
-STILL_ACCEPTING = 0.5  # s after SIGTERM: connections go on coming
-ALL_ANSWERED = 3_300_000  # µs after SIGTERM: all is answered, with time to write before 3.5 s
+STILL_ACCEPTING = 0.5  # s after SIGTERM: connections go on coming, by the protocol for up to 0.4 s
+FIRST_WORDS = 0.3  # s more for the first request of a connection that came last
+# SIGKILL comes no earlier than so long after SIGTERM: the longest deadline, of 3 s at most, and 0.7 s.
+LONGEST_COUNTED, BEFORE_KILL = 3_000_000, 700_000  # µs
+TO_WRITE = 300_000  # µs before SIGKILL by which all is answered: the last answers are still to be written
+LOOK_AGAIN = 0.01  # s between two looks at what is still owed, at the end
+LEAVING = 0.15  # s for the last answers to leave with their connections, which close once written
 LINES_PER_S = 50  # of the log: a flood of failures must not cost the CPU
 
 
@@ -44,6 +50,12 @@
         return self.lines <= LINES_PER_S
 
 
+def time_to_answer(settings: Settings) -> int:
+    """Microseconds from SIGTERM until all must be answered, so that SIGKILL finds nothing open."""
+    longest = max(rule.deadline for rule in settings.classes)
+    return max(0, min(longest, LONGEST_COUNTED) + BEFORE_KILL - TO_WRITE)
+
+
 class Program:
     """One front door, from its start to its end."""
 
@@ -56,7 +68,7 @@
         self.discovery = Discovery(config, self.door.listed)
         self.door.on_refetch = self.discovery.refetch
         self.over = asyncio.Event()
-        self.stopping = False
+        self.ending: asyncio.Task[None] | None = None  # from SIGTERM on
 
     def start(self) -> None:
         """Listen, and watch the list."""
@@ -74,10 +86,6 @@
         gc.freeze()
         await self.over.wait()
         self.discovery.stop()
-        # Answers just written leave with their connections, which close once written.
-        until = self.loop.time() + 0.15
-        while self.clients.connections and self.loop.time() < until:
-            await asyncio.sleep(0.005)
 
     def reload(self) -> None:
         """Read the configuration again: discovery and the counter may have moved."""
@@ -91,18 +99,30 @@
         self.door.recount(config.counter)
 
     def stop(self) -> None:
-        if not self.stopping:
-            self.stopping = self.clients.draining = True
-            self.door.drain(self.door.clock.now() + ALL_ANSWERED)
-            self.loop.call_later(STILL_ACCEPTING, self._stop_accepting)
-
-    def _stop_accepting(self) -> None:
-        self.clients.stop_listening()
-        self.clients.retire_idle()
-        self.door.on_quiet = self.over.set
-        if not self.door.unanswered:
+        """Answer all that is open and all that still comes, then end."""
+        if self.ending is None:
+            self.clients.draining = True
+            self.door.drain(self.door.clock.now() + time_to_answer(self.door.settings))
+            self.ending = self.loop.create_task(self._end())
+
+    async def _end(self) -> None:
+        """Accept to the last, close what is idle, and leave once nothing is owed or all time is over."""
+        try:
+            await asyncio.sleep(STILL_ACCEPTING)
+            self.clients.stop_listening()
+            self.clients.retire_idle()
+            await self._while(self.clients.awaits_first, FIRST_WORDS)
+            self.clients.retire_silent()
+            await self._while(self.clients.owes, (self.door.drain_by - self.door.clock.now()) / 1e6)
+            await self._while(lambda: bool(self.clients.connections), LEAVING)
+        finally:
             self.over.set()
 
+    async def _while(self, open_still: Callable[[], bool], longest: float) -> None:
+        until = self.loop.time() + longest
+        while open_still() and self.loop.time() < until:
+            await asyncio.sleep(LOOK_AGAIN)
+
 
 async def serve(config: Config) -> int:
     try:
--- a/irisdeal/clients.py
+++ b/irisdeal/clients.py
@@ -323,18 +323,19 @@
             done = self.waiting.popleft()
             self.transport.write(done.answer)
             if done.then_close:
-                return self._linger() if self.broken else self._close()
+                return self._linger()
         self.since = self.side.now()
         self._read_on()
 
     def _close(self) -> None:
+        """Between requests: what has come meanwhile is not read, and the client sends it once more."""
         self.closing, self.ends_at = True, self.side.now() + LINGER
         if self.transport is not None:
             self.transport.close()
 
     def _linger(self) -> None:
-        """Closed with bytes unread, a connection is reset, and the answer on its way is lost."""
-        self.ends_at = self.side.now() + LINGER
+        """After an answer: closed with bytes unread, the connection would be reset, and the answer lost."""
+        self.closing, self.ends_at = True, self.side.now() + LINGER
         if self.transport is not None:
             self.transport.write_eof()
             if self.paused:
@@ -441,9 +442,21 @@
         self.listener.close()
 
     def retire_idle(self) -> None:
+        """At the end: what has been served may close; a new connection's first request may be on its way."""
+        for client in [c for c in self.connections if c.is_idle() and c.spoke]:
+            client.retire()
+
+    def retire_silent(self) -> None:
         for client in [c for c in self.connections if c.is_idle()]:
             client.retire()
 
+    def awaits_first(self) -> bool:
+        return any(not (c.spoke or c.ends_at) for c in self.connections)
+
+    def owes(self) -> bool:
+        """Whether a request is unanswered, or is being read."""
+        return any(not (c.is_idle() or c.ends_at) for c in self.connections)
+
 
 def most_units(plan: Plan) -> float:
     """More than this a plan never passes at once: its stores do not hold it."""
--- a/irisdeal/door.py
+++ b/irisdeal/door.py
@@ -72,7 +72,6 @@
         self.events = Batch()
         self.scheduled = self.list_known = False
         self.drain_by = 0  # when all must be answered; 0 while in service
-        self.on_quiet: Callable[[], None] = lambda: None
         self.on_refetch: Callable[[], None] = lambda: None
         self.actions: dict[type, Callable[[Any], None]] = {
             Send: self._send, Cancel: self._cancel, Refuse: self._refuse, Fail: self._fail,
@@ -184,8 +183,6 @@
         if not request.out:
             self.requests.pop(number, None)
         self.unanswered -= 1
-        if not self.unanswered:
-            self.on_quiet()
 
     def drain(self, by: int) -> None:
         """Answer all that is open, and all that still comes, until then."""
--- a/irisdeal/listener.py
+++ b/irisdeal/listener.py
@@ -57,13 +57,16 @@
         return int(self.socket.getsockname()[1])
 
     def close(self) -> None:
+        """Stop, but for what has come already: the kernel would reset it, with the request it brought."""
         if self.socket is not None:
             self.loop.remove_reader(self.socket)
+            self._accept(BACKLOG)
+        if self.socket is not None:
             self.socket.close()
             self.socket = None
 
-    def _accept(self) -> None:
-        for _ in range(BURST):
+    def _accept(self, most: int = BURST) -> None:
+        for _ in range(most):
             if self.socket is None:
                 return
             try:
--- /dev/null
+++ b/tests/test_ending.py
@@ -0,0 +1,118 @@
+"""After SIGTERM: what has come in time is answered, and nothing is cut off that could still be answered."""
+
+import asyncio
+import socket
+
+from cresspulley.interface import Arrival, Send
+from irisdeal.__main__ import time_to_answer
+from tests.peers import (
+    Peer, Running, Script, answer, ask, config, member, read_message, running, send_all, settings,
+    socket_test, whole_list)
+
+
+async def closed_to_new(door: Running) -> None:
+    while door.program.clients.listener.socket is not None:
+        await asyncio.sleep(0.001)
+
+
+def test_all_is_answered_before_sigkill_whatever_the_deadlines() -> None:
+    def all_answered(*deadlines: int) -> int:
+        [look, file] = settings()["profiles"]
+        classes = [{**look, "name": f"c{n}", "deadline_us": d} for n, d in enumerate(deadlines)] + [
+            {**file, "deadline_us": 100_000}]
+        return time_to_answer(config(settings=settings(profiles=classes)).settings)
+
+    # SIGKILL comes 0.7 s after the longest deadline, of which 3 s count at most; 0.3 s are left to write.
+    assert all_answered(900_000) == 900_000 + 400_000
+    assert all_answered(250_000, 1_200_000) == 1_200_000 + 400_000
+    assert all_answered(30_000_000) == 3_000_000 + 400_000
+
+
+@socket_test
+async def test_what_a_hung_backend_leaves_open_is_answered_by_then() -> None:
+    brief = [{**c, "deadline_us": 200_000} for c in settings()["profiles"]]
+    script = Script(lambda event: [Send(event.request, b"s-1")] if isinstance(event, Arrival) else [])
+    async with Peer() as backend, running(
+            script, settings=settings(profiles=brief), known=whole_list(member("s-1", backend.port))) as door:
+        client, to_door = await door.client()
+        to_door.write(ask()[:40])
+        while not door.program.clients.owes():
+            await asyncio.sleep(0)
+        door.program.stop()
+        door.program.door._end_all()
+        await closed_to_new(door)
+        to_door.write(ask()[40:])  # the whole request comes after all has been answered once
+        await backend.connection()  # and hangs there
+        assert (await read_message(client))[0].split()[1] == "500"
+        await door.program.over.wait()
+
+
+@socket_test
+async def test_a_request_still_being_read_is_waited_for() -> None:
+    script = Script(send_all)
+    async with Peer() as backend, running(script, known=whole_list(member("s-1", backend.port))) as door:
+        client, to_door = await door.client()
+        to_door.write(ask()[:-4])
+        while not door.program.clients.owes():
+            await asyncio.sleep(0)
+        door.program.stop()
+        await closed_to_new(door)
+        assert not door.program.over.is_set()  # nothing is open at the door, but half a request is here
+        to_door.write(ask()[-4:])
+        reader, writer = await backend.connection()
+        await read_message(reader)
+        writer.write(answer())
+        line, headers, _ = await read_message(client)
+        assert (line.split()[1], headers["connection"]) == ("200", "close")
+        await door.program.over.wait()
+
+
+@socket_test
+async def test_a_connection_that_came_last_may_still_ask() -> None:
+    script = Script(send_all)
+    async with Peer() as backend, running(script, known=whole_list(member("s-1", backend.port))) as door:
+        client, to_door = await door.client()
+        door.program.stop()
+        await closed_to_new(door)
+        to_door.write(ask())
+        reader, writer = await backend.connection()
+        await read_message(reader)
+        writer.write(answer())
+        assert (await read_message(client))[0].split()[1] == "200"
+        await door.program.over.wait()
+
+
+@socket_test
+async def test_connections_that_wait_to_be_accepted_are_taken_in_before_listening_ends() -> None:
+    script = Script(send_all)
+    async with Peer() as backend, running(script, known=whole_list(member("s-1", backend.port))) as door:
+        place = ("127.0.0.1", door.program.clients.port())
+        waiting = [socket.create_connection(place) for _ in range(20)]  # more than one turn accepts
+        for n, made in enumerate(waiting):
+            made.sendall(ask(trace=f"t{n}"))
+        door.program.clients.stop_listening()  # in the same turn: the loop has accepted none of them yet
+        for _ in waiting:
+            reader, writer = await backend.connection()
+            await read_message(reader)
+            writer.write(answer())
+        for made in waiting:
+            made.setblocking(False)
+            assert (await asyncio.get_running_loop().sock_recv(made, 100)).startswith(b"HTTP/1.1 200 ")
+            made.close()
+
+
+@socket_test
+async def test_answers_are_not_reset_away_by_requests_that_are_read_no_further() -> None:
+    script = Script(send_all)
+    async with Peer() as backend, running(script, known=whole_list(member("s-1", backend.port))) as door:
+        reader, writer = await door.client()
+        writer.write(b"".join(ask(trace=f"t{n}") for n in range(4)))  # the most that one connection has open
+        streams = [await backend.connection() for _ in range(4)]
+        writer.write(b"x" * 200_000)  # left unread
+        await writer.drain()
+        door.program.clients.draining = True
+        for to_backend, backend_writer in streams:
+            await read_message(to_backend)
+            backend_writer.write(answer(200, b"y" * 60_000))
+        for _ in range(4):
+            assert (await read_message(reader))[2] == b"y" * 60_000
