Tell in one line of limits that are no object, numbers that are not finite, and JSON too deep

Seen by putting 18 odd values and a gap in every place of a configuration (1,900 files): `limits` that is no object ended with a traceback (AttributeError in config.parse), JSON nested 100,000 deep as well (RecursionError); on SIGHUP both would have gone up through the signal handler. Taken without a word: nan and infinite figures (wire.Reader.number), no attempts at all, a connect time-out or idle time of nought, fewer than no descriptors. Each now ends with one plain line, and on SIGHUP leaves the old configuration in force.

--- a/cresspulley/wire.py
+++ b/cresspulley/wire.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import struct
 from collections.abc import Callable, Iterator
 from typing import NamedTuple, TypeVar
@@ -333,9 +334,18 @@
     def number(self, path: str, default: str | None = None) -> float:
         text = self.text(path, default)
         try:
-            return float(text)
+            number = float(text)
         except ValueError:
             raise WireError(f"setting {path} is no number: {text!r}") from None
+        if not math.isfinite(number):  # it would spoil every sum and comparison that it enters
+            raise WireError(f"setting {path} is not finite: {text!r}")
+        return number
+
+    def positive(self, path: str, default: str | None = None) -> int:
+        number = self.whole(path, default)
+        if number <= 0:
+            raise WireError(f"setting {path} is {number}: wanted more than 0")
+        return number
 
     def whole(self, path: str, default: str | None = None) -> int:
         return int(self.number(path, default))
@@ -391,7 +401,7 @@
         warm_up=r.whole("safety.warm_up_us"),
         fall_multiple=r.number("safety.tip_multiple"),
         fall_window=r.whole("safety.fall_us"),
-        max_attempts=r.whole("permissions.max_attempts"),
+        max_attempts=r.positive("permissions.max_attempts"),
         parallel_attempts=r.flag("permissions.parallel_tries"),
         may_cancel=r.flag("permissions.cancel"),
         may_probe=r.flag("permissions.probes"),
--- a/irisdeal/config.py
+++ b/irisdeal/config.py
@@ -12,6 +12,8 @@
 
 Address = tuple[str, int]
 
+SOCKETS = 1024  # descriptors that we may hold where nothing is told
+
 
 class ConfigError(ValueError):
     """A configuration that cannot be used; the text says where and why."""
@@ -58,7 +60,7 @@
             told = json.load(file)
     except OSError as error:
         raise ConfigError(f"EDGE_CONFIG: {path}: {error.strerror}") from None
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise ConfigError(f"EDGE_CONFIG: {path}: no JSON: {error}") from None
     if not isinstance(told, dict):
         raise ConfigError(f"EDGE_CONFIG: {path}: wanted an object")
@@ -85,6 +87,11 @@
     if settings.counter and not counter:
         raise ConfigError("counter is missing, though the settings tell of one")
     limits = told.get("limits") or {}
+    if not isinstance(limits, dict):
+        raise ConfigError(f"limits are {limits!r}: wanted an object")
+    sockets = int(limits.get("sockets") or SOCKETS)
+    if sockets <= 0:
+        raise ConfigError(f"limits.sockets is {sockets}: wanted more than 0")
     try:
         seed = int(str(told.get("seed") or "0"), 16)
     except ValueError:
@@ -95,15 +102,15 @@
         discovery=address(told.get("discovery"), "discovery"),
         counter=address(counter, "counter") if counter else None,
         seed=seed,
-        sockets=int(limits.get("sockets") or 1024),
+        sockets=sockets,
         known=told.get("known"),
         settings=settings,
         classes=_names(reader, "profiles", len(settings.classes)),
         plans=_names(reader, "packages", len(settings.plans)),
         zones=_list(nested.get("zones")),
         kinds=_list(nested.get("kinds")),
-        connect_timeout=reader.whole("permissions.connect_timeout_us", "250000"),
-        keepalive=reader.whole("permissions.keepalive_us", "30000000"),
+        connect_timeout=reader.positive("permissions.connect_timeout_us", "250000"),
+        keepalive=reader.positive("permissions.keepalive_us", "30000000"),
     )
 
 
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -117,6 +117,12 @@
     ({"settings": settings(), "listen": "nowhere"}, "listen is 'nowhere'"),
     ({"settings": settings(), "listen": "127.0.0.1:9", "discovery": "127.0.0.1:9", "seed": "xyz"}, "seed is"),
     ([], "wanted an object"),
+    ({"settings": settings(), "limits": [256]}, "limits are [256]"),
+    ({"settings": settings(), "limits": {"sockets": -5}}, "limits.sockets is -5"),
+    ({"settings": settings(packages=[{"refill": "nan"}])}, "packages.0.refill is not finite"),
+    ({"settings": settings(permissions={"max_attempts": 0})}, "permissions.max_attempts is 0"),
+    ({"listen": "127.0.0.1:9", "discovery": "127.0.0.1:9", "settings": settings(
+        permissions={**settings()["permissions"], "connect_timeout_us": 0})}, "connect_timeout_us is 0"),
 ])
 def test_a_bad_configuration_is_one_plain_line_and_exit_2(told: object, says: str, tmp_path: Path) -> None:
     async def run() -> tuple[int | None, str]:
@@ -128,6 +134,13 @@
     assert code == 2 and errors.count("\n") == 1 and says in errors
 
 
+def test_json_nested_without_end_is_no_configuration(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text("[" * 100_000)
+    with pytest.raises(ConfigError, match="no JSON"):
+        load({"EDGE_CONFIG": str(path)})
+
+
 def test_the_environment_goes_before_the_file(tmp_path: Path) -> None:
     path = tmp_path / "config.json"
     path.write_text(json.dumps({"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": settings()}))
