Hear of discovery's return within the grace for drains, and take no old list for news

What discovery gets on its return counts as told at once, and sending to a draining server must end within safety.drain_grace_us from then. discovery.py had constants in place of that figure: 5 s for a connection that does not come up (the watch's own patience), 1 s for an answer that is due, pauses that doubled up to 1 s; the first or the last alone is a grace of 1 s.

Now patience is 0.4 and the longest pause 0.2 of the grace, and connecting has a patience of its own. Also: a whole list older than the one held was taken as news when it answered a watch; now the whole is asked for once more. A connection that ended in the turn in which it came up raised an AssertionError. And a restarted front door said it was ready with the remembered list before the agent had been asked: requests in its first moments could go to servers long gone. It waits for the first call to end, answered or not.

--- a/irisdeal/__main__.py
+++ b/irisdeal/__main__.py
@@ -65,7 +65,7 @@
         self.pool = Pool(config, limits.backends, loop)
         self.door = Door(config, decider, self.pool, loop)
         self.clients = ClientSide(config, self.door, limits.clients, loop)
-        self.discovery = Discovery(config, self.door.listed)
+        self.discovery = Discovery(config, self.door.listed, self.door.unheard)
         self.door.on_refetch = self.discovery.refetch
         self.over = asyncio.Event()
         self.ending: asyncio.Task[None] | None = None  # from SIGTERM on
--- a/irisdeal/discovery.py
+++ b/irisdeal/discovery.py
@@ -15,9 +15,14 @@
 
 log = logging.getLogger("irisdeal.discovery")
 
-WAIT = 4_000  # ms that a watch may take: one whose peer has silently gone is found that late
-PATIENCE = 1.0  # s more for its answer, or for that of a plain call
-PAUSE, LONGEST_PAUSE = 0.05, 1.0  # s before a failed call is made again, doubled each time
+# ms that a watch may take: one whose peer has silently gone is found that late. What it misses counts as told
+# 6 s after it fell silent.
+WAIT = 4_000
+PAUSE = 0.05  # s before a failed call is made again, doubled each time
+# What discovery gets on its return from silence counts as told at once, and from then the grace for drains
+# runs. So we must hear of it within a part of that grace, whichever state we are in:
+PATIENCE_SHARE, PATIENCE_MOST = 0.4, 1.0  # for a connection or an answer that is due, and s at the most
+PAUSE_SHARE, PAUSE_MOST = 0.2, 1.0  # for the longest pause, and s at the most
 MOST_LIST = 8_000_000
 MOST_NAMES = 64  # of zones, and of kinds
 STATES = {"Ready": ServerState.READY, "Terminating": ServerState.DRAINING, "Gone": ServerState.GONE}
@@ -100,7 +105,8 @@
         self.size = 0
 
     def get(self, path: bytes) -> asyncio.Future[bytes]:
-        assert self.transport is not None
+        if self.transport is None:  # it ended in the turn in which it came up
+            raise ConnectionResetError("connection ended")
         self.parts, self.size = [], 0
         self.answer = asyncio.get_running_loop().create_future()
         self.transport.write(b"GET " + path + b" HTTP/1.1\r\nHost: " + self.host + b"\r\n\r\n")
@@ -151,14 +157,18 @@
 
 
 class Discovery:
-    """Keeps the list: `found` hears of each news, in order."""
+    """Keeps the list: `found` hears of each news, in order, and `unheard` of each call that brought none."""
 
-    def __init__(self, config: Config, found: Found) -> None:
+    def __init__(self, config: Config, found: Found, unheard: Callable[[], None]) -> None:
         self.place, self.found, self.reader = config.discovery, found, Reader(config)
+        self.unheard = unheard
         self.version = -1  # of the list held; below 0 the whole is fetched
         self.call: Call | None = None
         self.task: asyncio.Task[None] | None = None
         self.known = config.known
+        grace = config.settings.drain_grace / 1e6
+        self.patience = min(PATIENCE_MOST, PATIENCE_SHARE * grace)
+        self.longest_pause = max(PAUSE, min(PAUSE_MOST, PAUSE_SHARE * grace))
 
     def remember(self) -> None:
         """Pass on the list that the configuration brought."""
@@ -199,31 +209,35 @@
                 pause = PAUSE
             except (OSError, TimeoutError, ValueError) as error:
                 log.warning("discovery: %s", error or "timed out")
+                self.unheard()
                 if isinstance(error, ValueError):
                     self.version = -1  # what was told, or whether our version is known: start from the whole
                 if self.call is not None:
                     self.call.close()
                 self.call = None
                 await asyncio.sleep(pause)
-                pause = min(LONGEST_PAUSE, 2 * pause)
+                pause = min(self.longest_pause, 2 * pause)
             except Exception:  # an error of ours must not end the watch
                 log.exception("discovery")
                 self.version, self.call = -1, None
-                await asyncio.sleep(LONGEST_PAUSE)
+                await asyncio.sleep(self.longest_pause)
 
     async def _next(self) -> None:
         """One call: asked again at once after the last, or what changes between counts as told unheard."""
         whole = self.version < 0
         path = b"/catalog/members" + (b"" if whole else b"?index=%d&wait=%d" % (self.version, WAIT))
         asked = asyncio.get_running_loop().time()
-        async with asyncio.timeout(PATIENCE + (0 if whole else WAIT / 1000)):
-            if self.call is None or not self.call.usable():
+        if self.call is None or not self.call.usable():
+            async with asyncio.timeout(self.patience):
                 self.call = call = Call(self.place)
                 await asyncio.get_running_loop().create_connection(lambda: call, *self.place)
+        async with asyncio.timeout(self.patience + (0 if whole else WAIT / 1000)):
             text = await self.call.get(path)
         told, places = self.reader.read(json.loads(text))
-        if told.kind is ListKind.CHANGES and (whole or told.version < self.version):
+        if told.kind is ListKind.CHANGES and whole:
             raise ValueError("changes to a list that is not held")
+        if told.version < self.version:
+            raise ValueError(f"version {told.version} after {self.version}")  # old, or discovery began anew
         news = bool(told.entries) or told.kind is ListKind.COMPLETE
         if news:
             self.found(told, places)
--- a/irisdeal/door.py
+++ b/irisdeal/door.py
@@ -139,7 +139,7 @@
 
     def listed(self, told: ServerList, places: dict[bytes, Address]) -> None:
         """News of the list."""
-        if told.kind is not ListKind.REMEMBERED or told.entries:
+        if told.kind is not ListKind.REMEMBERED:
             self.list_known = True
         old = self.places
         whole = told.kind is not ListKind.CHANGES
@@ -152,6 +152,10 @@
                 self.pool.retire(server)
         self.post(told)
 
+    def unheard(self) -> None:
+        """Discovery is silent: what is remembered must do. Until then it may name what has long gone."""
+        self.list_known = self.list_known or bool(self.places)
+
     def recount(self, address: Address | None) -> None:
         """The counter has another address."""
         if self.counter is not None and address is not None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -5,8 +5,8 @@
 from cresspulley.interface import ListKind, ServerList, ServerState
 from irisdeal.discovery import MOST_NAMES, Reader
 from tests.peers import (
-    Peer, Script, answer, as_json, ask, config, member, read_message, running, send_all, socket_test,
-    whole_list)
+    Peer, Script, answer, as_json, ask, config, member, read_message, running, send_all, settings,
+    socket_test, whole_list)
 
 
 def changes(revision: int, *members: dict[str, object]) -> bytes:
@@ -68,6 +68,55 @@
         assert "index=41&" in (await read_message(reader))[0]
 
 
+@socket_test
+async def test_an_old_list_after_a_new_one_is_not_taken_for_news() -> None:
+    script = Script(lambda event: [])
+    async with Peer() as discovery, running(script, discovery=f"127.0.0.1:{discovery.port}"):
+        reader, writer = await discovery.connection()
+        await read_message(reader)
+        writer.write(full(41, member("s-1", 9, phase="Terminating")))
+        assert "index=41&" in (await read_message(reader))[0]
+        writer.write(full(40, member("s-1", 9)))
+        reader, writer = await discovery.connection()  # asked again for the whole
+        assert (await read_message(reader))[0].startswith("GET /catalog/members HTTP")
+        writer.write(full(42, member("s-1", 9, phase="Terminating")))
+        assert "index=42&" in (await read_message(reader))[0]
+        told = [t for t in await script.wait_for(ServerList, 3) if t.kind is ListKind.COMPLETE]
+        assert [(t.version, t.entries[0].state) for t in told] == [
+            (41, ServerState.DRAINING), (42, ServerState.DRAINING)]
+
+
+@socket_test
+async def test_an_agent_that_is_back_from_silence_is_heard_within_the_grace_for_drains() -> None:
+    # Each call that is made while it is silent must end in time for one that is answered.
+    grace = 0.5
+    safety = {**settings()["safety"], "drain_grace_us": int(grace * 1e6)}
+    async with Peer() as discovery, running(
+            discovery=f"127.0.0.1:{discovery.port}", settings=settings(safety=safety)) as door:
+        watch = door.program.discovery
+        assert watch.patience + watch.longest_pause < grace
+        for _ in range(4):  # calls that are never answered; the pause between them grows meanwhile
+            reader, _ = await discovery.connection()
+            await read_message(reader)
+            assert await reader.read() == b""  # given up
+        reader, writer = await discovery.connection()
+        await read_message(reader)
+        writer.write(full(41, member("s-1", 9)))
+        assert "index=41&" in (await read_message(reader))[0]
+
+
+@socket_test
+async def test_what_is_remembered_serves_only_once_discovery_was_asked() -> None:
+    health = b"GET /_health HTTP/1.1\r\nHost: svc\r\n\r\n"
+    async with Peer() as discovery, running(
+            discovery=f"127.0.0.1:{discovery.port}", known=whole_list(member("s-1", 9))) as door:
+        reader, _ = await discovery.connection()
+        await read_message(reader)
+        assert (await door.call(health))[0].split()[1] == "503"  # it may name what has long gone
+        await discovery.connection()  # the first call has ended without an answer
+        assert (await door.call(health))[0].split()[1] == "200"
+
+
 @socket_test
 async def test_an_address_that_changes_is_followed() -> None:
     script = Script(send_all)
