See a client leave that is read no further, and send nothing late to a server that drains

(1) A connection with four requests at the door is read no further, so its end was seen only when one was answered: requests of a client that had gone were sent on for up to their whole time (8.9 s in a probe). (2) An attempt still connecting when its server was told to drain was written whenever the connection came up, within the connect time-out of the settings, whatever the grace; it is now ended, as never connected, after the module has the list. (3) The connect time-out could end an attempt that had just been written: time-outs and the connection's coming up raced in one task. Once up, the attempt's own time counts.

Checked: each with a test on loopback connections that fails without the mend. The terms for clients that leave while held for a slot or before a further attempt hold already and are tested for closing, resetting and half-closing, with slots, counts and descriptors given back.

--- a/irisdeal/backends.py
+++ b/irisdeal/backends.py
@@ -164,16 +164,21 @@
             self.connecting.cancel()
 
     async def connect(self, timeout: float) -> None:
+        late = self.pool.loop.call_later(timeout, self._late)
         try:
-            async with asyncio.timeout(timeout):
-                await self.pool.loop.create_connection(lambda: self, *self.address)
-        except (OSError, TimeoutError) as error:
-            # Time may run out in the turn in which it came up and the request was written.
+            await self.pool.loop.create_connection(lambda: self, *self.address)
+        except OSError as error:
+            log.warning("no connection to %s:%d: %s", *self.address, error)
             self._end(Result.CONNECTION_LOST if self.written else Result.NOT_CONNECTED)
-            log.warning("no connection to %s:%d: %s", *self.address, error or "timed out")
         finally:
+            late.cancel()
             self.connecting = None
 
+    def _late(self) -> None:
+        if self.transport is None:  # once it is up, the request is written, and its own time counts
+            log.warning("no connection to %s:%d: timed out", *self.address)
+            self._end(Result.NOT_CONNECTED)
+
     def is_clean(self) -> bool:
         """Nothing has come since the last answer: what came would be taken for the next one."""
         if self.transport is None or self.transport.is_closing():
@@ -345,10 +350,17 @@
     def retire(self, server: bytes) -> None:
         """It has moved or is gone: its connections carry nothing more than what they have."""
         self.close_idle(server)
+        self.withdraw(server)
         for connection in self.all:
             if connection.server == server:
                 connection.retired = True
 
+    def withdraw(self, server: bytes) -> None:
+        """It takes nothing new: what is not written there yet never will be, however late its connection."""
+        for connection in [c for c in self.all if c.server == server and not c.written]:
+            if connection.attempt is not None:
+                connection.attempt.finish(Result.NOT_CONNECTED)
+
     def _sweep(self) -> None:
         self.loop.call_later(1.0, self._sweep)
         self.recover()
--- a/irisdeal/clients.py
+++ b/irisdeal/clients.py
@@ -6,6 +6,7 @@
 import logging
 import math
 import re
+import select
 from collections import deque
 from collections.abc import Callable
 from functools import lru_cache
@@ -32,7 +33,8 @@
 # From this share of the places on, answers end their connections, and an idle one gets only so long.
 CROWDED, IDLE_IN_CROWD = 0.85, 2.0
 LINGER = 1.0  # s that a client may take to read why its connection ends
-SWEEP = 0.25  # s
+# s. A client that leaves while its connection is read no further shows only then; within 0.3 s it must.
+SWEEP = 0.2
 # Headers that speak of one connection, or that are written anew.
 NOT_FORWARDED = frozenset((
     b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
@@ -366,9 +368,19 @@
         """Close an idle connection."""
         self._close()
 
+    def has_left(self) -> bool:
+        """Whether the client has closed its side or reset; while we do not read, only the socket can tell."""
+        if self.transport is None:
+            return True
+        poller = select.poll()
+        poller.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        return bool(poller.poll(0))
+
     def check(self, now: float, longest_idle: float) -> None:
         """End what takes too long."""
-        if self.ends_at:
+        if self.paused and self.transport is not None and not self.ends_at and self.has_left():
+            self.transport.abort()
+        elif self.ends_at:
             if now > self.ends_at and self.transport is not None:
                 self.transport.abort()  # it neither reads what it is owed nor closes
         elif self.broken or (self.in_message and not self.paused):
@@ -395,10 +407,12 @@
         self.connections: dict[Client, None] = {}
         self.open_traces: set[bytes] = set()
         self.draining = False
+        self.sweep_due = 0.0
         self.listener = Listener(self.admit, loop)
 
     def listen(self) -> None:
         self.listener.listen(self.config.listen)
+        self.sweep_due = self.now() + SWEEP
         self.loop.call_later(SWEEP, self._sweep)
 
     def port(self) -> int:
@@ -431,7 +445,10 @@
 
     def _sweep(self) -> None:
         self.loop.call_later(SWEEP, self._sweep)
-        self.sweep()
+        now, due = self.now(), self.sweep_due
+        self.sweep_due = now + SWEEP
+        if now - due < SWEEP:  # else we stood still, and what has come meanwhile is not read yet
+            self.sweep()
 
     def sweep(self) -> None:
         now, longest_idle = self.now(), IDLE_IN_CROWD if self.crowded() else IDLE_CONNECTION
--- a/irisdeal/door.py
+++ b/irisdeal/door.py
@@ -10,7 +10,7 @@
 
 from cresspulley.interface import (
     Action, Arrival, AttemptEnded, Cancel, CloseIdle, Count, CountAnswer, Decider, Event, Fail, FetchList,
-    FollowList, ListKind, Note, Refuse, RequestEnded, Result, Send, ServerList, Wake, Woken)
+    FollowList, ListKind, Note, Refuse, RequestEnded, Result, Send, ServerList, ServerState, Wake, Woken)
 from irisdeal.backends import Answer, Attempt, Pool
 from irisdeal.clients import ClientRequest, retry_after
 from irisdeal.config import Address, Config
@@ -147,10 +147,13 @@
         for entry in told.entries:
             if entry.server not in places:
                 self.places.pop(entry.server, None)
+        self.post(told)  # before what ends by it, so that nothing turns to another that drains as well
         for server, place in old.items():
             if self.places.get(server) != place:  # moved or gone
                 self.pool.retire(server)
-        self.post(told)
+        for entry in told.entries:
+            if entry.state is not ServerState.READY:
+                self.pool.withdraw(entry.server)
 
     def unheard(self) -> None:
         """Discovery is silent: what is remembered must do. Until then it may name what has long gone."""
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -142,7 +142,8 @@
 
     def __init__(self, run: Running, port: int) -> None:
         self.loop, self.port = run.program.pool.loop, port
-        self.asked, self.go_on = asyncio.Event(), asyncio.Event()
+        self.asked, self.go_on, self.told = asyncio.Event(), asyncio.Event(), asyncio.Event()
+        self.told.set()
         run.program.pool.loop = cast(asyncio.AbstractEventLoop, self)
 
     def __getattr__(self, name: str) -> Any:
@@ -152,7 +153,9 @@
         if port == self.port:
             self.asked.set()
             await self.go_on.wait()
-        return await self.loop.create_connection(made, host, port)
+        up = await self.loop.create_connection(made, host, port)
+        await self.told.wait()
+        return up
 
 
 @asynccontextmanager
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -6,6 +6,7 @@
 import uvloop
 
 from cresspulley.interface import Arrival, Refuse
+from irisdeal.clients import SLOW_REQUEST
 from tests.peers import Script, answer, ask, read_message, running, socket_test
 
 GET = b"GET /api HTTP/1.1\r\nHost: svc\r\n"
@@ -125,3 +126,26 @@
         writer.write(ask("file", Content_Length="4000000") + b"x" * 4_000_000)
         assert (await read_message(reader))[0].split()[1] == "413"
         assert await reader.read() == b""
+
+
+@socket_test
+async def test_a_client_is_not_slow_while_the_front_door_stood_still() -> None:
+    script = Script(lambda event: [Refuse(event.request)] if isinstance(event, Arrival) else [])
+    async with running(script) as door:
+        side = door.program.clients
+        reader, writer = await door.client()
+        writer.write(ask()[:-4])
+        while not side.owes():
+            await asyncio.sleep(0)
+        stood = side.now() + 100.0
+        side.now = lambda: stood
+        side._sweep()  # the rest may be here, and unread
+        writer.write(ask()[-4:])
+        assert (await read_message(reader))[0].split()[1] == "429"
+        writer.write(ask()[:-4])
+        while not side.owes():
+            await asyncio.sleep(0)
+        side.sweep_due = stood + SLOW_REQUEST
+        side.now = lambda: stood + SLOW_REQUEST + 0.1
+        side._sweep()
+        assert (await read_message(reader))[0].split()[1] == "408"
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -2,15 +2,17 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from typing import cast
 
 import pytest
-import uvloop
 
+from cresspulley.control import Gateway
 from cresspulley.interface import Action, Arrival, AttemptEnded, Event, Fail, RequestEnded, Result, Send
+from irisdeal.clients import MOST_PIPELINED
 from tests.peers import (
-    LateConnections, Peer, Running, Script, answer, ask, member, read_message, running, send_all, socket_test,
-    whole_list)
+    LIMIT, LateConnections, Peer, Running, Script, answer, as_json, ask, member, read_message, running,
+    send_all, settings, socket_test, whole_list)
 
 
 Leave = Callable[[asyncio.StreamWriter], None]
@@ -76,24 +78,160 @@
     writer.write_eof()
 
 
-@pytest.mark.parametrize("leave", [close, reset, half_close])
-def test_a_client_that_leaves_while_its_request_connects(leave: Leave) -> None:
-    async def run() -> None:
-        script = Script(send_all)
-        async with Peer() as backend, running(script, known=whole_list(member("s-1", backend.port))) as door:
-            late = LateConnections(door, backend.port)
-            _, to_door = await door.client()
+def each_way(test: Callable[[Leave], Awaitable[None]]) -> Callable[[Leave], None]:
+    """The test for a client that closes, resets, and half-closes."""
+    def run(leave: Leave) -> None:
+        async def leaving() -> None:
+            await test(leave)
+
+        socket_test(leaving)()
+
+    run.__name__ = getattr(test, "__name__", "run")
+    return pytest.mark.parametrize("leave", [close, reset, half_close])(run)
+
+
+@each_way
+async def test_a_client_that_leaves_while_its_request_connects(leave: Leave) -> None:
+    script = Script(send_all)
+    async with Peer() as backend, running(script, known=whole_list(member("s-1", backend.port))) as door:
+        late = LateConnections(door, backend.port)
+        _, to_door = await door.client()
+        to_door.write(ask())
+        await late.asked.wait()
+        leave(to_door)
+        await script.wait_for(RequestEnded)
+        late.go_on.set()
+        assert [e.result for e in await script.wait_for(AttemptEnded)] == [Result.NOT_SENT]
+        await nothing_open(door)
+        assert backend.accepted.empty()
+
+
+CAPPED = [{**settings()["packages"][0], "concurrency": 1}]
+
+
+@each_way
+async def test_a_client_that_leaves_while_its_request_is_held_for_a_slot(leave: Leave) -> None:
+    async with Peer() as backend, running(
+            settings=settings(packages=CAPPED), known=whole_list(member("s-1", backend.port))) as door:
+        gateway = cast(Gateway, door.program.door.decider)
+        first, to_first = await door.client()
+        to_first.write(ask(trace="first"))
+        reader, writer = await backend.connection()
+        assert (await read_message(reader))[1]["x-trace-id"] == "first"
+        _, to_door = await door.client()
+        to_door.write(ask(trace="held"))
+        while not any(c.held for c in gateway.customers.values()):
+            await asyncio.sleep(0)
+        leave(to_door)
+        while len(door.program.door.requests) > 1:
+            await asyncio.sleep(0)
+        third, to_third = await door.client()
+        to_third.write(ask(trace="third"))
+        while not any(c.held for c in gateway.customers.values()):
+            await asyncio.sleep(0)
+        writer.write(answer())  # the slot is free: it is the third one's
+        assert (await read_message(first))[0].split()[1] == "200"
+        served = [asyncio.ensure_future(read_message(reader)), asyncio.ensure_future(backend.connection())]
+        done, _ = await asyncio.wait(served, return_when=asyncio.FIRST_COMPLETED)
+        if served[1] in done:  # on a new connection, as the other one has not rested
+            reader, writer = served[1].result()  # type: ignore[assignment]
+            served[0].cancel()
+            message = await read_message(reader)
+        else:
+            message = served[0].result()  # type: ignore[assignment]
+        assert message[1]["x-trace-id"] == "third"
+        writer.write(answer())
+        assert (await read_message(third))[0].split()[1] == "200"
+        while door.program.door.requests:
+            await asyncio.sleep(0)
+        [customer] = gateway.customers.values()
+        assert (customer.out, customer.held, gateway.out, gateway.requests) == (0, [], 0, {})
+
+
+@each_way
+async def test_a_client_that_leaves_before_a_further_attempt(leave: Leave) -> None:
+    async with Peer() as one, Peer() as two, running(
+            known=whole_list(member("s-1", one.port), member("s-2", two.port))) as door:
+        gateway = cast(Gateway, door.program.door.decider)
+        _, to_door = await door.client()
+        to_door.write(ask())
+        arrived = {asyncio.ensure_future(p.connection()): p for p in (one, two)}
+        done, pending = await asyncio.wait(arrived, return_when=asyncio.FIRST_COMPLETED)
+        for task in pending:
+            task.cancel()
+        [first] = done
+        reader, writer = first.result()
+        await read_message(reader)
+        leave(to_door)
+        while door.program.clients.open_traces:
+            await asyncio.sleep(0)
+        writer.write(answer(503, extra="X-Never-Ran: 1\r\n"))  # it could go on to the other one
+        while gateway.requests:
+            await asyncio.sleep(0)
+        assert gateway.out == 0
+        await door.call(b"GET /_health HTTP/1.1\r\nHost: svc\r\n\r\n")
+        assert one.accepted.empty() and two.accepted.empty()
+
+
+@each_way
+async def test_a_client_that_leaves_a_connection_that_is_read_no_further(leave: Leave) -> None:
+    script = Script(lambda event: [])  # the module holds all
+    patient = [{**rule, "deadline_us": 60_000_000} for rule in settings()["profiles"]]
+    async with running(script, settings=settings(profiles=patient)) as door:
+        _, to_door = await door.client()
+        to_door.write(b"".join(ask(trace=f"t{n}", X_Expires_In="60000m") for n in range(MOST_PIPELINED)))
+        await script.wait_for(Arrival, MOST_PIPELINED)
+        leave(to_door)
+        await script.wait_for(RequestEnded, MOST_PIPELINED)
+        await nothing_open(door)
+
+
+@socket_test
+async def test_a_server_told_to_drain_gets_nothing_that_still_connects() -> None:
+    def on_to_the_next(event: Event) -> list[Action]:
+        if isinstance(event, AttemptEnded) and event.result is Result.NOT_CONNECTED:
+            return [Send(event.request, b"s-2")]
+        return send_all(event)
+
+    script = Script(on_to_the_next)
+    async with Peer() as one, Peer() as two, Peer() as discovery:
+        first, second = member("s-1", one.port), member("s-2", two.port)
+        async with running(script, known=whole_list(first, second),
+                           discovery=f"127.0.0.1:{discovery.port}") as door:
+            door.program.pool.connect_timeout = LIMIT
+            to_agent, agent = await discovery.connection()
+            await read_message(to_agent)
+            late = LateConnections(door, one.port)
+            client, to_door = await door.client()
             to_door.write(ask())
             await late.asked.wait()
-            leave(to_door)
-            await script.wait_for(RequestEnded)
+            agent.write(answer(200, as_json(whole_list({**first, "phase": "Terminating"}, second))))
+            reader, writer = await two.connection()
+            await read_message(reader)
+            writer.write(answer())
+            assert (await read_message(client))[0].split()[1] == "200"
             late.go_on.set()
-            assert [e.result for e in await script.wait_for(AttemptEnded)] == [Result.NOT_SENT]
-            await nothing_open(door)
-            assert backend.accepted.empty()
+            await door.call(b"GET /_health HTTP/1.1\r\nHost: svc\r\n\r\n")
+            assert one.accepted.empty()
 
-    async def limited() -> None:
-        async with asyncio.timeout(20):
-            await run()
 
-    uvloop.run(limited())
+@socket_test
+async def test_a_connection_up_as_its_time_runs_out_serves_what_is_written() -> None:
+    script = Script(send_all)
+    async with Peer() as backend, running(script, known=whole_list(member("s-1", backend.port))) as door:
+        pool, told = door.program.pool, asyncio.Event()
+        pool.connect_timeout = 0.05
+        late = LateConnections(door, backend.port)
+        late.go_on.set()
+        late.told = told  # the connection is up and used; whoever opened it hears of that later
+        client, to_door = await door.client()
+        to_door.write(ask())
+        reader, writer = await backend.connection()
+        await read_message(reader)
+        over = late.loop.time() + 2 * pool.connect_timeout
+        while late.loop.time() < over:
+            await asyncio.sleep(0)
+        writer.write(answer())
+        assert (await read_message(client))[0].split()[1] == "200"
+        told.set()
+        assert [e.result for e in await script.wait_for(AttemptEnded)] == [Result.OK]
