Close a connection whose last answer was worded before SIGTERM

Read for races: answers of one connection go out in order, so one that waits behind another was worded, without "Connection: close", before the drain; the connection then stayed open and idle, and a request on it in the last 0.15 s of the process was lost. Client.reply now closes it, between requests. The test fails without it.

--- a/irisdeal/clients.py
+++ b/irisdeal/clients.py
@@ -327,6 +327,8 @@
             if done.then_close:
                 return self._linger()
         self.since = self.side.now()
+        if self.side.draining and self.is_idle():  # its last answer was worded before the end had come
+            return self._close()
         self._read_on()
 
     def _close(self) -> None:
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 
-from cresspulley.interface import Arrival, Send
+from cresspulley.interface import Arrival, Refuse, Send
 from irisdeal.__main__ import time_to_answer
 from tests.peers import (
     Peer, Running, Script, answer, ask, config, member, read_message, running, send_all, settings,
@@ -116,3 +116,19 @@
             backend_writer.write(answer(200, b"y" * 60_000))
         for _ in range(4):
             assert (await read_message(reader))[2] == b"y" * 60_000
+
+
+@socket_test
+async def test_a_last_answer_worded_before_the_end_closes_its_connection_too() -> None:
+    script = Script(lambda event: [])
+    async with running(script) as door:
+        reader, writer = await door.client()
+        writer.write(ask(trace="a") + ask(trace="b"))
+        await script.wait_for(Arrival, 2)
+        door.program.door._apply(Refuse(2))  # waits behind the first one's
+        door.program.clients.draining = True
+        door.program.door._apply(Refuse(1))
+        for _ in range(2):
+            assert (await read_message(reader))[0].split()[1] == "429"
+        assert all(client.ends_at for client in door.program.clients.connections)  # at once, not once idle
+        assert await reader.read() == b""
