Let the module word the answer when the front door itself stood still

With further lines: the loop stood still for 22 ms at 9.442 (bad clients), the module's timer for request 93 (due at .4365) and the door's guard (due 8 ms later) came up in one turn, and Door._overdue answered 500 before the module had heard that it was time. Nothing was lost, but a held request that may be asked again was called failed. Ruled out: a lost wake (wake_at and agenda were right).

The guard now wakes the module and answers only if it stays silent, in the same turn of the loop. One test with a standstill (fails without the mend), and one for a module that never answers.

--- a/irisdeal/door.py
+++ b/irisdeal/door.py
@@ -165,6 +165,11 @@
             self.counter.move(address)
 
     def _overdue(self, number: int) -> None:
+        """Its time is over. If we stood still the module was not yet told so: it has the first word."""
+        self.post(Woken(0))
+        self.loop.call_soon(self._unanswered, number)  # behind the turn
+
+    def _unanswered(self, number: int) -> None:
         """The module has let a request's time pass: it is still owed an answer."""
         request = self.requests.get(number)
         if request is not None and not request.final:
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -5,11 +5,13 @@
 import os
 import signal
 import sys
+import time
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 
 import pytest
 
+from cresspulley.control import Gateway
 from cresspulley.interface import Action, Arrival, Event, Refuse, Send
 from irisdeal.config import ConfigError, load
 from tests.peers import (
@@ -46,6 +48,32 @@
         assert (await door.call(ask()))[0].split()[1] == "429"
 
 
+@socket_test
+async def test_after_standing_still_the_module_still_words_the_answer() -> None:
+    # Its own timer and the door's guard are due at once then; a held request is refused, which promises more
+    # than a failure does.
+    capped = [{**settings()["packages"][0], "concurrency": 1}]
+    async with Peer() as backend, running(
+            settings=settings(packages=capped), known=whole_list(member("s-1", backend.port))) as door:
+        _, to_first = await door.client()
+        to_first.write(ask(trace="first"))
+        await backend.connection()
+        client, to_door = await door.client()
+        to_door.write(ask(trace="held", X_Expires_In="100m"))
+        gateway = cast(Gateway, door.program.door.decider)
+        while not any(c.held for c in gateway.customers.values()):
+            await asyncio.sleep(0)
+        time.sleep(0.2)
+        assert (await read_message(client))[0].split()[1] == "429"
+
+
+@socket_test
+async def test_what_the_module_never_answers_the_door_does() -> None:
+    async with running(Script(lambda event: [])) as door:
+        assert (await door.call(ask(X_Expires_In="50m")))[0].split()[1] == "500"
+        assert not door.program.door.requests
+
+
 @socket_test
 async def test_draining_serves_what_still_comes_and_closes_after_answers() -> None:
     script = Script(send_all)
