--- a/irisdeal/door.py
+++ b/irisdeal/door.py
@@ -72,7 +72,6 @@
         self.events = Batch()
         self.scheduled = self.list_known = False
         self.drain_by = 0  # when all must be answered; 0 while in service
-        self.on_quiet: Callable[[], None] = lambda: None
         self.on_refetch: Callable[[], None] = lambda: None
         self.actions: dict[type, Callable[[Any], None]] = {
             Send: self._send, Cancel: self._cancel, Refuse: self._refuse, Fail: self._fail,
@@ -128,11 +127,11 @@
             client.gateways, client.is_retry, client.is_write))
 
     def gone(self, client: ClientRequest) -> None:
-        """The client left; attempts that are out go on and still count as out."""
+        """The client left; attempts that are written go on and still count as out."""
         self._leave(client.number)
 
     def give_up(self, client: ClientRequest) -> None:
-        """Its connection ends and cannot wait for it; what is out goes on and counts, as above."""
+        """Its connection ends and cannot wait for it; what is written goes on and counts, as above."""
         self._leave(client.number, lambda client: client.reply(502, b"failed\n"))
 
     def can_serve(self) -> bool:
@@ -140,7 +139,7 @@
 
     def listed(self, told: ServerList, places: dict[bytes, Address]) -> None:
         """News of the list."""
-        if told.kind is not ListKind.REMEMBERED or told.entries:
+        if told.kind is not ListKind.REMEMBERED:
             self.list_known = True
         old = self.places
         whole = told.kind is not ListKind.CHANGES
@@ -153,6 +152,10 @@
                 self.pool.retire(server)
         self.post(told)
 
+    def unheard(self) -> None:
+        """Discovery is silent: what is remembered must do. Until then it may name what has long gone."""
+        self.list_known = self.list_known or bool(self.places)
+
     def recount(self, address: Address | None) -> None:
         """The counter has another address."""
         if self.counter is not None and address is not None:
@@ -174,14 +177,16 @@
             self.post(RequestEnded(number))
 
     def _final(self, number: int, request: Open) -> None:
+        """The one place where a request ends. What is written goes on and counts; nothing new is written."""
         request.final = True
         if request.guard is not None:
             request.guard.cancel()
+        for attempt in request.attempts:
+            if not attempt.is_written():  # its connection still comes up
+                attempt.finish(Result.NOT_SENT)
         if not request.out:
             self.requests.pop(number, None)
         self.unanswered -= 1
-        if not self.unanswered:
-            self.on_quiet()
 
     def drain(self, by: int) -> None:
         """Answer all that is open, and all that still comes, until then."""
