--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,105 @@
+"""CI passes over the tests that KNOWN-RED.txt names, and nothing else: small projects, run by `.ci/run`."""
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+TESTS = """
+import pytest
+def test_good(): pass
+@pytest.mark.parametrize("n", (1, 2))
+def test_odd(n): assert n != 1
+@pytest.mark.skip
+def test_skipped(): assert False
+@pytest.fixture
+def broken(): raise OSError
+def test_unready(broken): assert False
+@pytest.mark.xfail
+def test_expected(): assert False
+@pytest.fixture
+def untidy():
+    yield
+    raise OSError
+def test_untidy(untidy): assert False
+"""
+ODD = "tests/test_some.py::test_odd[1]"
+UNREADY, UNTIDY = "tests/test_some.py::test_unready", "tests/test_some.py::test_untidy"
+REST = "not unready and not untidy"
+
+
+def run_ci(path: Path, listed: str | None, only: str = REST, tests: str = TESTS) -> tuple[int, str]:
+    """Exit code and output of `.ci/run` in a project of these tests, where pip, ruff and mypy do nothing."""
+    for file in (".ci/run", "tests/conftest.py"):
+        (path / file).parent.mkdir(exist_ok=True)
+        (path / file).write_text((ROOT / file).read_text())
+    (path / "tests" / "test_some.py").write_text(tests)
+    (path / "pyproject.toml").write_text("[tool.pytest.ini_options]\ntestpaths = ['tests']\naddopts = '-q'\n")
+    if listed is not None:
+        (path / "KNOWN-RED.txt").write_text(listed)
+    commands = path / ".venv-dev" / "bin"
+    commands.mkdir(parents=True)
+    for name in ("pip", "ruff", "mypy", "python"):
+        does = f"exec {sys.executable}" if name == "python" else "true"
+        (commands / name).write_text(f'#!/bin/sh\n{does} "$@"\n')
+        (commands / name).chmod(0o755)
+    made = subprocess.run(
+        ["bash", ".ci/run"], cwd=path, capture_output=True, text=True, check=False,
+        env={**os.environ, "PYTEST_DISABLE_PLUGIN_AUTOLOAD": "1", "PYTEST_ADDOPTS": f"-k '{only}'"})
+    return made.returncode, made.stdout + made.stderr
+
+
+def closing(output: str) -> str:
+    return output.strip().splitlines()[-1]
+
+
+def test_a_listed_test_that_fails_is_passed_over_and_named(tmp_path: Path) -> None:
+    code, output = run_ci(tmp_path, f"\n{ODD} | the clock | #7\n\n")
+    assert code == 0, output
+    assert closing(output).startswith("2 passed, 1 skipped, 2 deselected, 2 xfailed in "), output
+    assert f"known red: {ODD} | the clock | #7" in output
+
+
+@pytest.mark.parametrize("listed", [None, "", "tests/test_some.py::test_expected | cause | #1\n"])
+def test_what_is_not_listed_counts(tmp_path: Path, listed: str | None) -> None:
+    code, output = run_ci(tmp_path, listed)
+    assert code == 1 and f"FAILED {ODD}" in output, output
+
+
+@pytest.mark.parametrize("name", ["test_good", "test_odd[2]", "test_skipped", "test_expected"])
+def test_a_listed_test_that_does_not_fail_is_a_failure(tmp_path: Path, name: str) -> None:
+    code, output = run_ci(tmp_path, f"{ODD} | cause | #1\ntests/test_some.py::{name} | cause | #1\n")
+    assert code == 1 and f"tests/test_some.py::{name} - KNOWN-RED.txt lists it" in output, output
+    assert "1 failed, " in closing(output) or ", 1 error" in closing(output), output
+
+
+@pytest.mark.parametrize("name", [UNREADY, UNTIDY])
+def test_an_error_around_a_listed_test_is_one(tmp_path: Path, name: str) -> None:
+    code, output = run_ci(tmp_path, f"{name} | cause | #1\n", name.rpartition("_")[2])
+    assert code == 1 and f"ERROR {name}" in output, output
+
+
+@pytest.mark.parametrize("listed, tests, ends", [
+    (None, "", 5), (f"{ODD} | cause | #1", "import nothing_of_the_kind\n", 2)])
+def test_a_run_without_the_tests_fails(tmp_path: Path, listed: str | None, tests: str, ends: int) -> None:
+    code, output = run_ci(tmp_path, listed, tests=tests)
+    assert code == ends, output
+
+
+@pytest.mark.parametrize("listed, told", [
+    ("tests/test_some.py::test_odd | a cause | #1", "no such test in this run: tests/test_some.py::test_odd"),
+    ("tests/test_some.py::test_unready | a cause | #1", "no such test in this run"),  # not selected
+    (f"{ODD} | a cause", "wanted TEST | CAUSE | ISSUE"),
+    (f"{ODD} | a cause | ", "wanted TEST | CAUSE | ISSUE"),
+    (f"{ODD} |  | #1", "wanted TEST | CAUSE | ISSUE"),
+    (f"{ODD} | a | #1\n{ODD} | b | #2", "listed twice"),
+    ("\n".join(f"a.py::test_{n} | a cause | #1" for n in range(4)), "4 tests, at most 3"),
+])
+def test_an_odd_list_is_told_in_one_line(tmp_path: Path, listed: str, told: str) -> None:
+    code, output = run_ci(tmp_path, listed)
+    assert code != 0 and "Traceback" not in output, output
+    assert closing(output).startswith("ERROR: KNOWN-RED.txt: ") and told in closing(output), output
+    assert " passed" not in output
