Take no more descriptors than the process may hold, and say so in one line

Cause: limits.py shared out what the configuration tells of (__main__.py, Program). Change: limits.held takes the smaller of the two and logs it.

--- a/irisdeal/__main__.py
+++ b/irisdeal/__main__.py
@@ -20,7 +20,7 @@
 from irisdeal.config import Config, ConfigError, load
 from irisdeal.discovery import Discovery
 from irisdeal.door import Door
-from irisdeal.limits import share
+from irisdeal.limits import held, share
 
 log = logging.getLogger("irisdeal")
 
@@ -60,7 +60,7 @@
     """One front door, from its start to its end."""
 
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, decider: Decider) -> None:
-        limits = share(config.sockets)
+        limits = share(held(config.sockets))
         self.loop = loop
         self.pool = Pool(config, limits.backends, loop)
         self.door = Door(config, decider, self.pool, loop)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from typing import Any, TypeVar, cast
@@ -69,6 +70,9 @@
     """A listening peer; each connection is a queue item that the test serves as it likes."""
 
     def __init__(self) -> None:
+        self.sock = socket.socket()  # bound at once: until it listens, it refuses
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.bind(("127.0.0.1", 0))
         self.accepted: asyncio.Queue[Streams] = asyncio.Queue()
         self.taken: list[asyncio.StreamWriter] = []
         self.server: asyncio.Server | None = None
@@ -78,7 +82,7 @@
             self.taken.append(writer)
             await self.accepted.put((reader, writer))
 
-        self.server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        self.server = await asyncio.start_server(accept, sock=self.sock)
         return self
 
     async def __aexit__(self, *_: object) -> None:
@@ -89,8 +93,7 @@
 
     @property
     def port(self) -> int:
-        assert self.server is not None
-        return int(self.server.sockets[0].getsockname()[1])
+        return int(self.sock.getsockname()[1])
 
     async def connection(self) -> Streams:
         return await self.accepted.get()
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -112,10 +112,12 @@
         await door.program.over.wait()
 
 
-async def start(path: Path, told: object) -> asyncio.subprocess.Process:
+async def start(path: Path, told: object, descriptors: int = 0) -> asyncio.subprocess.Process:
+    """The program as a process that may hold so many descriptors; 0 for as many as we may."""
     path.write_text(json.dumps(told))
+    limit = f"ulimit -n {descriptors} && " if descriptors else ""
     return await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "irisdeal", stderr=asyncio.subprocess.PIPE,
+        "sh", "-c", f'{limit}exec "$0" -m irisdeal', sys.executable, stderr=asyncio.subprocess.PIPE,
         env={**os.environ, "EDGE_CONFIG": str(path)})
 
 
