--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -1,12 +1,17 @@
 """What is promised of the files."""
 
 import ast
+import os
+import shutil
+import subprocess
+import sys
 import tomllib
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
 CONTROL = ROOT / "cresspulley" / "control.py"
-POLICY = [ROOT / path for path in tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["policy"]]
+DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+POLICY = [ROOT / path for path in DEPLOY["policy"]]
 
 
 def imported(path: Path) -> set[str]:
@@ -47,3 +52,17 @@
 def test_no_other_module_decides() -> None:
     assert "cresspulley.control" not in imported(ROOT / "cresspulley" / "wire.py")
     assert imported(ROOT / "cresspulley" / "interface.py") == {"__future__", "dataclasses", "enum", "typing"}
+
+
+def test_what_the_build_compiles_stands_whatever_times_the_files_get(tmp_path: Path) -> None:
+    for package in ("cresspulley", "irisdeal"):
+        shutil.copytree(ROOT / package, tmp_path / package, ignore=shutil.ignore_patterns("__pycache__"))
+    build = DEPLOY["build"].rpartition("&& ")[2].replace(".venv/bin/python", sys.executable)
+    subprocess.run(build, shell=True, cwd=tmp_path, check=True)
+    for source in tmp_path.glob("*/*.py"):
+        os.utime(source, (1, 1))  # a copy of the root, or a fresh checkout
+    told = subprocess.run(
+        [sys.executable, "-v", "-c", "import irisdeal.__main__"], cwd=tmp_path, check=True,
+        capture_output=True, text=True, env={**os.environ, "PYTHONDONTWRITEBYTECODE": "1"}).stderr
+    assert "irisdeal/__main__.py\n" in told
+    assert "bytecode is stale for 'irisdeal" not in told and "bytecode is stale for 'cresspulley" not in told
