A request whose last byte never left has not run, whatever ends its attempt

Cause: `Backend._write` set `written` before the transport had handed over anything, and every later end (`connection_lost`, `time_out`, `Door._cancel`, `Door._final`) took that for a request that may have run. With a full window the kernel takes a part (5,760 of 66,000 bytes in a probe), and the rest waits in the transport.

`abort` from a callback closes a turn later, and the poll before that still writes (4,032 bytes more in the probe): "never ran" would then not be certain.

Change: one state `Wire` (unsent, writing, written) in place of the flag. While it is "writing", a break is "not connected", a time-out too, a cancel or the request's end is "not sent"; the sending is shut down before any of them is told, so that nothing more leaves. A write that fails outright never ran either. An answer that begins before the request is whole is noise: the connection ends. A drain leaves alone what has begun to be written (a send counts from its first byte). A cancel of what was never written is "not sent" in place of "cancelled".

Tests, over loopback with small buffers: reset, time-out, cancel, client gone and early answer, each half written and with all taken by the kernel; a class that must not run twice goes on only in the first case; a reset between the look at a resting connection and the write.

--- a/irisdeal/backends.py
+++ b/irisdeal/backends.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
 import select
+import socket
 from collections.abc import Callable
+from enum import Enum
 from typing import Any, cast
 
 import httptools
@@ -32,6 +35,17 @@
     "qps": "served_per_s", "eps": "errors_per_s"}
 
 
+class Wire(Enum):
+    """How much of a connection's present request the kernel has taken."""
+
+    UNSENT = "unsent"  # nothing: the connection comes up, or rests without a request
+    WRITING = "writing"  # not all: the backend cannot have its last byte, so it has not begun it
+    WRITTEN = "written"  # all: it may run
+
+
+UNSENT, WRITING, WRITTEN = Wire  # each attempt reads them, and by the class that is slow
+
+
 class Answer:
     """What a backend answered."""
 
@@ -99,8 +113,11 @@
         self.on_end(self, result, answer)
 
     def is_written(self) -> bool:
-        """Whether it may have run: what was never written cannot have, however long the connection took."""
-        return self.connection is not None and self.connection.written
+        """Whether it may have run: what was never written whole cannot have, however long it took."""
+        return self.connection is not None and self.connection.wire is WRITTEN
+
+    def cancel(self) -> None:
+        self.finish(Result.CANCELLED if self.is_written() else Result.NOT_SENT)
 
     def time_out(self) -> None:
         self.finish(Result.TIMED_OUT if self.is_written() else Result.NOT_CONNECTED)
@@ -114,7 +131,8 @@
         self.attempt: Attempt | None = None
         self.transport: asyncio.Transport | None = None
         self.parser: httptools.HttpResponseParser | None = None
-        self.written = self.lost = self.retired = False
+        self.wire: Wire = UNSENT
+        self.lost = self.retired = False
         self.idle_since = 0.0
         self.rested: float | None = None  # s before the present request; None on a new connection
         self.file = -1
@@ -134,8 +152,12 @@
 
     def _write(self) -> None:
         assert self.transport is not None and self.attempt is not None
-        self.written = True  # what the kernel takes may run: from here a break is a reset
+        self.wire = WRITTEN
         self.transport.write(self.attempt.payload)
+        if self.transport.get_write_buffer_size():
+            self.transport.set_write_buffer_limits(0)  # calls `pause_writing` now
+        elif self.transport.is_closing():  # the write failed, or came too late: nothing more leaves
+            self.wire = WRITING
         self.attempt.payload = b""
 
     def leave(self) -> None:
@@ -149,7 +171,7 @@
         if self.whole and self.rested is not None:
             self.pool.learn(self.rested, True)
         if self.whole and self.reusable and not (self.lost or self.retired):
-            self.written = self.whole = False
+            self.wire, self.whole = UNSENT, False
             self.pool.rest(self)
         else:
             self.drop()
@@ -159,17 +181,30 @@
         self.lost = True
         self.pool.forget(self)
         if self.transport is not None:
+            if self.wire is WRITING:
+                self._end_sending()
             self.transport.abort()
         elif self.connecting is not None:
             self.connecting.cancel()
 
+    def _end_sending(self) -> None:
+        """What is left never leaves: `abort` closes a turn later, and until then more is still written."""
+        sending = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, self.file)
+        try:
+            sending.shutdown(socket.SHUT_WR)
+        except OSError as error:
+            if error.errno != errno.ENOTCONN:  # reset: nothing leaves any more
+                raise
+        finally:
+            sending.detach()  # it is the transport's
+
     async def connect(self, timeout: float) -> None:
         late = self.pool.loop.call_later(timeout, self._late)
         try:
             await self.pool.loop.create_connection(lambda: self, *self.address)
         except OSError as error:
             log.warning("no connection to %s:%d: %s", *self.address, error)
-            self._end(Result.CONNECTION_LOST if self.written else Result.NOT_CONNECTED)
+            self._break()
         finally:
             late.cancel()
             self.connecting = None
@@ -193,6 +228,10 @@
             self._end(Result.CONNECTION_LOST)
             self.drop()
 
+    def _break(self) -> None:
+        """The connection's end. Its buffer's size no longer tells what was left: an error empties it."""
+        self._end(Result.CONNECTION_LOST if self.wire is WRITTEN else Result.NOT_CONNECTED)
+
     def _end(self, result: Result, answer: Answer | None = None) -> None:
         attempt = self.attempt
         if result is not Result.OK and answer is None:
@@ -216,11 +255,23 @@
         self.parser = self.transport = None  # parser and connection hold each other
         if self.attempt is not None and self.rested is not None and not self.begun:
             self.pool.learn(self.rested, False)  # closed while it stood idle, and not seen in time
-        self._end(Result.CONNECTION_LOST if self.written else Result.NOT_CONNECTED)
+        self._break()
+
+    def pause_writing(self) -> None:
+        """The kernel has not taken all that was written."""
+        self.wire = WRITING
+
+    def resume_writing(self) -> None:
+        """It has by now. After an error or `abort` with bytes left this never comes."""
+        self.wire = WRITTEN
 
     def data_received(self, data: bytes) -> None:
         if self.attempt is None or self.parser is None:  # an answer to nothing
             return self.drop()
+        if self.wire is WRITING:  # a backend begins a request once its last byte has arrived
+            log.warning("an answer from %s:%d to a request that it did not have", *self.address)
+            self._break()
+            return self.drop()
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -356,8 +407,11 @@
                 connection.retired = True
 
     def withdraw(self, server: bytes) -> None:
-        """It takes nothing new: what is not written there yet never will be, however late its connection."""
-        for connection in [c for c in self.all if c.server == server and not c.written]:
+        """It takes nothing new: what is not written there yet never will be, however late its connection.
+
+        What has begun to be written is not new: for drains, a send counts from its first byte.
+        """
+        for connection in [c for c in self.all if c.server == server and c.wire is UNSENT]:
             if connection.attempt is not None:
                 connection.attempt.finish(Result.NOT_CONNECTED)
 
--- a/irisdeal/door.py
+++ b/irisdeal/door.py
@@ -190,7 +190,7 @@
         if request.guard is not None:
             request.guard.cancel()
         for attempt in request.attempts:
-            if not attempt.is_written():  # its connection still comes up
+            if not attempt.is_written():  # its connection still comes up, or takes no more for now
                 attempt.finish(Result.NOT_SENT)
         if not request.out:
             self.requests.pop(number, None)
@@ -258,7 +258,7 @@
     def _cancel(self, action: Cancel) -> None:
         request = self.requests.get(action.request)
         if request is not None and 0 <= action.attempt < len(request.attempts):
-            request.attempts[action.attempt].finish(Result.CANCELLED)
+            request.attempts[action.attempt].cancel()
 
     def _refuse(self, action: Refuse) -> None:
         request = self.requests.get(action.request)
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -5,6 +5,7 @@
 import os
 import socket
 import weakref
+from collections.abc import Callable
 from contextlib import ExitStack
 from typing import Any, cast
 
@@ -13,9 +14,11 @@
 
 from cresspulley.interface import (
     Action, Arrival, AttemptEnded, Cancel, Event, LoadReport, RequestEnded, Result, Send)
-from irisdeal.backends import Attempt, Pool
+from irisdeal.backends import Attempt, Backend, Pool
+from irisdeal.door import Door
 from tests.peers import (
-    Peer, Script, answer, ask, config, member, read_message, running, send_all, socket_test, whole_list)
+    Peer, Running, Script, answer, ask, config, member, read_message, running, send_all, settings,
+    socket_test, whole_list)
 
 CLOSE = b""  # the connection ends
 
@@ -411,3 +414,184 @@
         for _ in range(100):
             pool.recover()
         assert pool.keep == pool.longest
+
+
+class SmallBuffers:
+    """Backends that read nothing by themselves, on connections on which the kernel takes little at once."""
+
+    def __init__(self, count: int = 1) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.listeners = [socket.socket() for _ in range(count)]
+        for listener in self.listeners:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1024)
+            listener.bind(("127.0.0.1", 0))
+            listener.listen()
+            listener.setblocking(False)
+        self.known = whole_list(*(
+            member(f"s-{n}", made.getsockname()[1]) for n, made in enumerate(self.listeners, 1)))
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.loop, name)
+
+    async def create_connection(self, made: Callable[[], asyncio.Protocol], host: str, port: int) -> Any:
+        up = socket.socket()
+        up.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        up.setblocking(False)
+        await self.loop.sock_connect(up, (host, port))
+        return await self.loop.create_connection(made, sock=up)
+
+    async def half_written(self, door: Running) -> tuple[Backend, socket.socket]:
+        """A client's request of 64 KiB: its connection to a backend, which stands, and the backend's end."""
+        door.program.pool.loop = cast(asyncio.AbstractEventLoop, self)
+        self.client, self.to_door = await door.client()
+        self.to_door.write(ask("file", Content_Length="65536") + b"x" * 65_536)
+        return await self.standing(door, await self.accepted())
+
+    async def accepted(self) -> socket.socket:
+        accepts = [self.loop.create_task(self.loop.sock_accept(one)) for one in self.listeners]
+        done, others = await asyncio.wait(accepts, return_when=asyncio.FIRST_COMPLETED)
+        for accept in others:
+            accept.cancel()
+        return done.pop().result()[0]
+
+    async def standing(self, door: Running, peer: socket.socket) -> tuple[Backend, socket.socket]:
+        while not (found := [c for c in door.program.pool.all if left(c)]):
+            await asyncio.sleep(0)
+        return found[0], peer
+
+
+def left(connection: Backend) -> int:
+    return connection.transport.get_write_buffer_size() if connection.transport is not None else 0
+
+
+def reset(peer: socket.socket) -> None:
+    peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")  # close sends a reset
+    peer.close()
+
+
+async def take(peer: socket.socket, connection: Backend) -> bytes:
+    """What the backend reads until the kernel has taken the whole request."""
+    got = b""
+    while left(connection):
+        got += await asyncio.get_running_loop().sock_recv(peer, 4096)
+    return got
+
+
+def take_all(peer: socket.socket) -> bytes:
+    """What has come, in this turn."""
+    got = b""
+    try:
+        while part := peer.recv(65_536):
+            got += part
+    except BlockingIOError:
+        pass
+    return got
+
+
+def by_reset(door: Door, connection: Backend, peer: socket.socket, buffers: SmallBuffers) -> None:
+    reset(peer)
+
+
+def by_time(door: Door, connection: Backend, peer: socket.socket, buffers: SmallBuffers) -> None:
+    assert connection.attempt is not None
+    connection.attempt.time_out()
+
+
+def by_cancel(door: Door, connection: Backend, peer: socket.socket, buffers: SmallBuffers) -> None:
+    door._apply(Cancel(1, 0))
+
+
+def by_client(door: Door, connection: Backend, peer: socket.socket, buffers: SmallBuffers) -> None:
+    buffers.to_door.transport.abort()
+
+
+def by_answer(door: Door, connection: Backend, peer: socket.socket, buffers: SmallBuffers) -> None:
+    peer.send(answer(200, b"to what?"))
+
+
+Ending = Callable[[Door, Backend, socket.socket, SmallBuffers], None]
+
+
+@pytest.mark.parametrize(("end", "half", "whole"), [
+    (by_reset, Result.NOT_CONNECTED, Result.CONNECTION_LOST),
+    (by_time, Result.NOT_CONNECTED, Result.TIMED_OUT),
+    (by_cancel, Result.NOT_SENT, Result.CANCELLED),
+    (by_client, Result.NOT_SENT, Result.OK),  # written whole, it goes on
+    (by_answer, Result.NOT_CONNECTED, Result.OK),  # on a new connection only this request can have caused it
+])
+@pytest.mark.parametrize("is_half", [True, False])
+def test_a_request_whose_last_byte_never_left_never_ran(
+        end: Ending, half: Result, whole: Result, is_half: bool) -> None:
+    async def run() -> None:
+        script, buffers = Script(send_all), SmallBuffers()
+        async with running(script, known=buffers.known) as door:
+            connection, peer = await buffers.half_written(door)
+            door.program.pool.withdraw(b"s-1")  # a drain: its first byte had left before
+            got = b"" if is_half else await take(peer, connection)
+            unsent = left(connection)
+            end(door.program.door, connection, peer, buffers)
+            if end is by_reset:
+                return await ended_as(script, half if is_half else whole)
+            if end is by_client:
+                await script.wait_for(RequestEnded)
+                if not is_half:
+                    peer.send(answer())
+            got += take_all(peer)  # there is room again, before the loop looks at its connections
+            await ended_as(script, half if is_half else whole)
+            while is_half and (part := await door.program.loop.sock_recv(peer, 65_536)):
+                got += part
+            head = got.index(b"\r\n\r\n") + 4
+            assert is_half is (unsent > 0) and len(got) <= head + 65_536 - unsent  # none came after the end
+
+    async def ended_as(script: Script, result: Result) -> None:
+        assert [e.result for e in await script.wait_for(AttemptEnded)] == [result]
+
+    socket_test(run)()
+
+
+@pytest.mark.parametrize("is_half", [True, False])
+def test_what_must_not_run_twice_goes_on_only_if_its_last_byte_never_left(is_half: bool) -> None:
+    once = [{**rule, "repeat": "single_shot"} for rule in settings()["profiles"]]
+
+    async def run() -> None:
+        buffers = SmallBuffers(2)
+        async with running(settings=settings(profiles=once), known=buffers.known) as door:
+            connection, peer = await buffers.half_written(door)
+            if not is_half:
+                await take(peer, connection)
+            reset(peer)
+            if is_half:
+                connection, peer = await buffers.standing(door, await buffers.accepted())
+                await take(peer, connection)
+                peer.send(answer())
+            status = (await read_message(buffers.client))[0].split()[1]
+            assert status == ("200" if is_half else "502")
+
+    socket_test(run)()
+
+
+@socket_test
+async def test_a_request_written_to_a_connection_just_reset_never_ran() -> None:
+    script = Script(send_all)
+    async with Peer() as backend, running(script, known=whole_list(member("s-1", backend.port))) as door:
+        pool = door.program.pool
+        pool.rest_time = 0.0
+        client, to_door = await door.client()
+        to_door.write(ask())
+        reader, writer = await backend.connection()
+        await read_message(reader)
+        writer.write(answer())
+        await read_message(client)
+        [resting] = pool.idle[b"s-1"]
+        look = resting.is_clean
+
+        def look_then_reset() -> bool:
+            clean = look()
+            with socket.socket(fileno=os.dup(writer.get_extra_info("socket").fileno())) as peer:
+                peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+                os.close(writer.get_extra_info("socket").fileno())
+            return clean
+
+        resting.is_clean = look_then_reset  # type: ignore[method-assign]
+        to_door.write(ask(trace="a2"))
+        assert [e.result for e in await script.wait_for(AttemptEnded, 2)] == [Result.OK, Result.NOT_CONNECTED]
