Connections rest longer than bytes that belong to no answer were seen to be late

Cause: `Pool._rested` used a connection again 10 ms after an answer whatever had been seen; `data_received` on a resting connection and `is_clean` dropped it and learnt nothing. A second answer that comes later than that is taken for the next request's, as answers do not name their request.

Change: `Pool.learn_late`, in the manner of `learn`. A backend's connections rest twice as long as its bytes were late, so that none is used again where that is over the time they may rest at all. All others learn only what was news, to twice their rest at most and up to 0.25 s: a backend that goes on as before costs the others nothing more. Both fade by 1% a second, as at a fleet's low traffic a front door sees a backend about once in ten seconds.

An answer that begins sooner than any could is noise: what a backend sends after a request's last byte arrived acknowledges that byte. So on a used connection, if bytes of the request are still unacknowledged when the answer's first byte is read (TIOCOUTQ), it was sent before: the connection ends, and the request may have run.

Tests: a second answer 3 s late, read by the loop or found by the look before use, keeps a connection of 4 s from use and lets one of 7 s be used; a backend that does it 100 times costs the others one step, the bounds hold, all is forgiven; an answer sent while the request fills the backend's window is not its answer.

--- a/irisdeal/backends.py
+++ b/irisdeal/backends.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import errno
+import fcntl
 import logging
 import select
 import socket
+import termios
 from collections.abc import Callable
 from enum import Enum
 from typing import Any, cast
@@ -27,7 +29,11 @@
 LEAST_KEEP, KEEP_LESS, KEEP_MORE = 0.05, 0.8, 1.02  # s; times after a dead one; after a good one as old
 KEEP_AGAIN = 1.1  # times each second
 REST = 0.01  # s before a connection is used again: bytes that belong to no answer show within that time
+# Where they have come later, so many times as late; less each second, but slowly: at a fleet's low traffic
+# one front door sees a backend about once in ten seconds.
+REST_MORE, REST_AGAIN = 2.0, 0.99
 STALLED = 0.25  # s for the rest of an answer that has begun: backends write theirs whole
+NONE_OUT = bytes(4)  # no byte that the kernel took is still to be acknowledged (TIOCOUTQ, tcp(7))
 # The most of each figure that a backend can mean; beyond it is noise.
 MOST_LOAD = {"in_hand": 10_000.0, "waiting": 10_000.0, "busy": 1.5, "service_ms": 60_000.0}
 TOLD_LOAD = {  # the names of load figures, as in the settings and as plain words
@@ -136,6 +142,7 @@
         self.idle_since = 0.0
         self.rested: float | None = None  # s before the present request; None on a new connection
         self.file = -1
+        self.poller: select.poll | None = None
         self.connecting: asyncio.Task[None] | None = None
         self.stalled: asyncio.TimerHandle | None = None
         self.answer = Answer()
@@ -187,6 +194,18 @@
         elif self.connecting is not None:
             self.connecting.cancel()
 
+    def _is_early(self) -> bool:
+        """Sent before the request had arrived whole, as late bytes may be on a connection used again.
+
+        A backend begins a request once its last byte has arrived, and what it sends from then on acknowledges
+        that. The kernel is asked only while late bytes may show: it costs a tenth of what an attempt does.
+        """
+        if self.rested is None:
+            return False  # only this request can have caused it
+        if self.pool.loop.time() - self.idle_since - self.rested >= self.pool.rest_time:
+            return False
+        return fcntl.ioctl(self.file, termios.TIOCOUTQ, NONE_OUT) != NONE_OUT
+
     def _end_sending(self) -> None:
         """What is left never leaves: `abort` closes a turn later, and until then more is still written."""
         sending = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, self.file)
@@ -218,9 +237,13 @@
         """Nothing has come since the last answer: what came would be taken for the next one."""
         if self.transport is None or self.transport.is_closing():
             return False
-        poller = select.poll()
-        poller.register(self.file, select.POLLIN)
-        return not poller.poll(0)
+        if self.poller is None:
+            self.poller = select.poll()
+            self.poller.register(self.file, select.POLLIN | select.POLLRDHUP)
+        seen = self.poller.poll(0)
+        if seen and seen[0][1] == select.POLLIN:  # bytes, and no end
+            self.pool.learn_late(self.server, self.pool.loop.time() - self.idle_since)
+        return not seen
 
     def _stall(self) -> None:
         if self.attempt is not None:
@@ -267,9 +290,12 @@
 
     def data_received(self, data: bytes) -> None:
         if self.attempt is None or self.parser is None:  # an answer to nothing
+            self.pool.learn_late(self.server, self.pool.loop.time() - self.idle_since)
             return self.drop()
-        if self.wire is WRITING:  # a backend begins a request once its last byte has arrived
+        if self.wire is WRITING or (not self.begun and self._is_early()):
             log.warning("an answer from %s:%d to a request that it did not have", *self.address)
+            if self.rested is not None:
+                self.pool.learn_late(self.server, self.rested)
             self._break()
             return self.drop()
         try:
@@ -339,6 +365,7 @@
         self.keep = self.longest = config.keepalive / 1e6 * IDLE_SHARE
         # By backend, not by address: a new backend may stand where another one stood.
         self.idle: dict[bytes, list[Backend]] = {}
+        self.late: dict[bytes, float] = {}  # s that connections rest to backends that answered to nothing
         self.all: set[Backend] = set()
         loop.call_later(1.0, self._sweep)
 
@@ -356,8 +383,9 @@
 
     def _rested(self, server: bytes) -> Backend | None:
         resting, now = self.idle.get(server, []), self.loop.time()
+        rest = max(self.rest_time, self.late.get(server, 0.0)) if self.late else self.rest_time
         for n in range(len(resting) - 1, -1, -1):
-            if resting[n].idle_since <= now - self.rest_time:
+            if resting[n].idle_since <= now - rest:
                 connection = resting.pop(n)
                 connection.rested = now - connection.idle_since
                 if connection.rested <= self.keep and connection.is_clean():
@@ -368,6 +396,23 @@
     def recover(self) -> None:
         """Once a second: where none may rest, none would show that it could."""
         self.keep = min(self.longest, self.keep * KEEP_AGAIN)
+        if self.rest_time > REST:
+            self.rest_time = max(REST, self.rest_time * REST_AGAIN)
+        self.late = {server: rest * REST_AGAIN for server, rest in self.late.items() if rest > REST}
+
+    def learn_late(self, server: bytes, lateness: float) -> None:
+        """Bytes that belong to no answer came `lateness` s after the last one: connections rest longer.
+
+        Those to this backend by the whole of it, so that none is used again where it is over the time they
+        may rest at all. Those to all others only where it was news, at most twice as long as before and no
+        longer than the rest of an answer is waited for: a few bad backends cost the others few connections,
+        and what many do is soon known of those that are seldom seen.
+        """
+        known, wanted = self.late.get(server, 0.0), min(lateness * REST_MORE, self.longest)
+        self.late[server] = max(wanted, known)
+        if lateness > max(known, self.rest_time):
+            most = min(STALLED, self.keep * IDLE_SHARE, max(REST, self.rest_time) * REST_MORE)
+            self.rest_time = max(self.rest_time, min(wanted, most))
 
     def learn(self, rested: float, good: bool) -> None:
         """How long connections may rest: less than those that were found dead, in time again more."""
@@ -402,6 +447,7 @@
         """It has moved or is gone: its connections carry nothing more than what they have."""
         self.close_idle(server)
         self.withdraw(server)
+        self.late.pop(server, None)
         for connection in self.all:
             if connection.server == server:
                 connection.retired = True
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -14,7 +14,7 @@
 
 from cresspulley.interface import (
     Action, Arrival, AttemptEnded, Cancel, Event, LoadReport, RequestEnded, Result, Send)
-from irisdeal.backends import Attempt, Backend, Pool
+from irisdeal.backends import REST, STALLED, Attempt, Backend, Pool
 from irisdeal.door import Door
 from tests.peers import (
     Peer, Running, Script, answer, ask, config, member, read_message, running, send_all, settings,
@@ -440,12 +440,13 @@
         await self.loop.sock_connect(up, (host, port))
         return await self.loop.create_connection(made, sock=up)
 
-    async def half_written(self, door: Running) -> tuple[Backend, socket.socket]:
+    async def half_written(
+            self, door: Running, peer: socket.socket | None = None) -> tuple[Backend, socket.socket]:
         """A client's request of 64 KiB: its connection to a backend, which stands, and the backend's end."""
         door.program.pool.loop = cast(asyncio.AbstractEventLoop, self)
         self.client, self.to_door = await door.client()
         self.to_door.write(ask("file", Content_Length="65536") + b"x" * 65_536)
-        return await self.standing(door, await self.accepted())
+        return await self.standing(door, peer or await self.accepted())
 
     async def accepted(self) -> socket.socket:
         accepts = [self.loop.create_task(self.loop.sock_accept(one)) for one in self.listeners]
@@ -595,3 +596,74 @@
         resting.is_clean = look_then_reset  # type: ignore[method-assign]
         to_door.write(ask(trace="a2"))
         assert [e.result for e in await script.wait_for(AttemptEnded, 2)] == [Result.OK, Result.NOT_CONNECTED]
+
+
+@pytest.mark.parametrize("is_read", [True, False])
+def test_connections_rest_longer_than_a_second_answer_was_late(is_read: bool) -> None:
+    async def run() -> None:
+        async with Peer() as backend, running(
+                Script(send_all), known=whole_list(member("s-1", backend.port))) as door:
+            pool = door.program.pool
+            client, to_door = await door.client()
+
+            async def rested(trace: str, time: float) -> asyncio.StreamWriter:
+                """Served on a new connection, which has rested for so long."""
+                to_door.write(ask(trace=trace))
+                reader, writer = await backend.connection()
+                assert (await read_message(reader))[1]["x-trace-id"] == trace
+                writer.write(answer())
+                await read_message(client)
+                pool.idle[b"s-1"][-1].idle_since -= time
+                return writer
+
+            writer = await rested("a1", 3.0)
+            os.write(writer.get_extra_info("socket").fileno(), answer(200, b"stale"))
+            while is_read and pool.all:
+                await asyncio.sleep(0)
+            assert pool._rested(b"s-1") is None  # what the loop has not read, the look before use shows
+            await rested("a2", 4.0)
+            assert pool._rested(b"s-1") is None
+            pool.idle[b"s-1"][0].idle_since -= 3.0
+            assert pool._rested(b"s-1") is not None
+
+    socket_test(run)()
+
+
+@socket_test
+async def test_a_backend_that_answers_to_nothing_costs_the_others_little_and_is_forgiven() -> None:
+    pool = Pool(config(), 8, asyncio.get_running_loop())
+    for _ in range(100):
+        pool.learn_late(b"s-1", 5.0)
+    assert pool.late == {b"s-1": 10.0} and pool.rest_time == 2 * REST
+    pool.learn_late(b"s-2", 3 * REST)
+    assert pool.rest_time == 4 * REST
+    for n in range(100):
+        pool.learn_late(b"t-%d" % n, 1e6)
+    assert pool.rest_time == STALLED and max(pool.late.values()) == pool.longest
+    pool.retire(b"t-1")
+    assert b"t-1" not in pool.late
+    for _ in range(1000):
+        pool.recover()
+    assert pool.rest_time == REST and not pool.late
+
+
+@socket_test
+async def test_an_answer_sent_before_the_request_had_arrived_is_not_its_answer() -> None:
+    script, buffers = Script(send_all), SmallBuffers()
+    async with running(script, known=buffers.known) as door:
+        pool = door.program.pool
+        pool.rest_time = 0.0
+        pool.loop = cast(asyncio.AbstractEventLoop, buffers)
+        client, to_door = await door.client()
+        to_door.write(ask())
+        peer = await buffers.accepted()
+        await buffers.loop.sock_recv(peer, 4096)
+        peer.send(answer())
+        await read_message(client)
+        connection, _ = await buffers.half_written(door, peer)
+        pool.rest_time = 1e6  # while late bytes may show
+        await take(peer, connection)  # the kernel has it all, and the backend not yet
+        peer.send(answer(200, b"late"))
+        assert (await read_message(buffers.client))[0].split()[1] == "502"
+        assert (await script.wait_for(AttemptEnded, 2))[1].result is Result.CONNECTION_LOST
+        assert pool.late
