--- a/irisdeal/backends.py
+++ b/irisdeal/backends.py
@@ -3,9 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+import fcntl
 import logging
 import select
+import socket
+import termios
 from collections.abc import Callable
+from enum import Enum
 from typing import Any, cast
 
 import httptools
@@ -24,7 +29,11 @@
 LEAST_KEEP, KEEP_LESS, KEEP_MORE = 0.05, 0.8, 1.02  # s; times after a dead one; after a good one as old
 KEEP_AGAIN = 1.1  # times each second
 REST = 0.01  # s before a connection is used again: bytes that belong to no answer show within that time
+# Where they have come later, so many times as late; less each second, but slowly: at a fleet's low traffic
+# one front door sees a backend about once in ten seconds.
+REST_MORE, REST_AGAIN = 2.0, 0.99
 STALLED = 0.25  # s for the rest of an answer that has begun: backends write theirs whole
+NONE_OUT = bytes(4)  # no byte that the kernel took is still to be acknowledged (TIOCOUTQ, tcp(7))
 # The most of each figure that a backend can mean; beyond it is noise.
 MOST_LOAD = {"in_hand": 10_000.0, "waiting": 10_000.0, "busy": 1.5, "service_ms": 60_000.0}
 TOLD_LOAD = {  # the names of load figures, as in the settings and as plain words
@@ -32,6 +41,17 @@
     "qps": "served_per_s", "eps": "errors_per_s"}
 
 
+class Wire(Enum):
+    """How much of a connection's present request the kernel has taken."""
+
+    UNSENT = "unsent"  # nothing: the connection comes up, or rests without a request
+    WRITING = "writing"  # not all: the backend cannot have its last byte, so it has not begun it
+    WRITTEN = "written"  # all: it may run
+
+
+UNSENT, WRITING, WRITTEN = Wire  # each attempt reads them, and by the class that is slow
+
+
 class Answer:
     """What a backend answered."""
 
@@ -99,8 +119,11 @@
         self.on_end(self, result, answer)
 
     def is_written(self) -> bool:
-        """Whether it may have run: what was never written cannot have, however long the connection took."""
-        return self.connection is not None and self.connection.written
+        """Whether it may have run: what was never written whole cannot have, however long it took."""
+        return self.connection is not None and self.connection.wire is WRITTEN
+
+    def cancel(self) -> None:
+        self.finish(Result.CANCELLED if self.is_written() else Result.NOT_SENT)
 
     def time_out(self) -> None:
         self.finish(Result.TIMED_OUT if self.is_written() else Result.NOT_CONNECTED)
@@ -114,10 +137,12 @@
         self.attempt: Attempt | None = None
         self.transport: asyncio.Transport | None = None
         self.parser: httptools.HttpResponseParser | None = None
-        self.written = self.lost = self.retired = False
+        self.wire: Wire = UNSENT
+        self.lost = self.retired = False
         self.idle_since = 0.0
         self.rested: float | None = None  # s before the present request; None on a new connection
         self.file = -1
+        self.poller: select.poll | None = None
         self.connecting: asyncio.Task[None] | None = None
         self.stalled: asyncio.TimerHandle | None = None
         self.answer = Answer()
@@ -134,8 +159,12 @@
 
     def _write(self) -> None:
         assert self.transport is not None and self.attempt is not None
-        self.written = True  # what the kernel takes may run: from here a break is a reset
+        self.wire = WRITTEN
         self.transport.write(self.attempt.payload)
+        if self.transport.get_write_buffer_size():
+            self.transport.set_write_buffer_limits(0)  # calls `pause_writing` now
+        elif self.transport.is_closing():  # the write failed, or came too late: nothing more leaves
+            self.wire = WRITING
         self.attempt.payload = b""
 
     def leave(self) -> None:
@@ -149,7 +178,7 @@
         if self.whole and self.rested is not None:
             self.pool.learn(self.rested, True)
         if self.whole and self.reusable and not (self.lost or self.retired):
-            self.written = self.whole = False
+            self.wire, self.whole = UNSENT, False
             self.pool.rest(self)
         else:
             self.drop()
@@ -159,17 +188,42 @@
         self.lost = True
         self.pool.forget(self)
         if self.transport is not None:
+            if self.wire is WRITING:
+                self._end_sending()
             self.transport.abort()
         elif self.connecting is not None:
             self.connecting.cancel()
 
+    def _is_early(self) -> bool:
+        """Sent before the request had arrived whole, as late bytes may be on a connection used again.
+
+        A backend begins a request once its last byte has arrived, and what it sends from then on acknowledges
+        that. The kernel is asked only while late bytes may show: it costs a tenth of what an attempt does.
+        """
+        if self.rested is None:
+            return False  # only this request can have caused it
+        if self.pool.loop.time() - self.idle_since - self.rested >= self.pool.rest_time:
+            return False
+        return fcntl.ioctl(self.file, termios.TIOCOUTQ, NONE_OUT) != NONE_OUT
+
+    def _end_sending(self) -> None:
+        """What is left never leaves: `abort` closes a turn later, and until then more is still written."""
+        sending = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, self.file)
+        try:
+            sending.shutdown(socket.SHUT_WR)
+        except OSError as error:
+            if error.errno != errno.ENOTCONN:  # reset: nothing leaves any more
+                raise
+        finally:
+            sending.detach()  # it is the transport's
+
     async def connect(self, timeout: float) -> None:
         late = self.pool.loop.call_later(timeout, self._late)
         try:
             await self.pool.loop.create_connection(lambda: self, *self.address)
         except OSError as error:
             log.warning("no connection to %s:%d: %s", *self.address, error)
-            self._end(Result.CONNECTION_LOST if self.written else Result.NOT_CONNECTED)
+            self._break()
         finally:
             late.cancel()
             self.connecting = None
@@ -183,9 +237,13 @@
         """Nothing has come since the last answer: what came would be taken for the next one."""
         if self.transport is None or self.transport.is_closing():
             return False
-        poller = select.poll()
-        poller.register(self.file, select.POLLIN)
-        return not poller.poll(0)
+        if self.poller is None:
+            self.poller = select.poll()
+            self.poller.register(self.file, select.POLLIN | select.POLLRDHUP)
+        seen = self.poller.poll(0)
+        if seen and seen[0][1] == select.POLLIN:  # bytes, and no end
+            self.pool.learn_late(self.server, self.pool.loop.time() - self.idle_since)
+        return not seen
 
     def _stall(self) -> None:
         if self.attempt is not None:
@@ -193,6 +251,10 @@
             self._end(Result.CONNECTION_LOST)
             self.drop()
 
+    def _break(self) -> None:
+        """The connection's end. Its buffer's size no longer tells what was left: an error empties it."""
+        self._end(Result.CONNECTION_LOST if self.wire is WRITTEN else Result.NOT_CONNECTED)
+
     def _end(self, result: Result, answer: Answer | None = None) -> None:
         attempt = self.attempt
         if result is not Result.OK and answer is None:
@@ -216,10 +278,25 @@
         self.parser = self.transport = None  # parser and connection hold each other
         if self.attempt is not None and self.rested is not None and not self.begun:
             self.pool.learn(self.rested, False)  # closed while it stood idle, and not seen in time
-        self._end(Result.CONNECTION_LOST if self.written else Result.NOT_CONNECTED)
+        self._break()
+
+    def pause_writing(self) -> None:
+        """The kernel has not taken all that was written."""
+        self.wire = WRITING
+
+    def resume_writing(self) -> None:
+        """It has by now. After an error or `abort` with bytes left this never comes."""
+        self.wire = WRITTEN
 
     def data_received(self, data: bytes) -> None:
         if self.attempt is None or self.parser is None:  # an answer to nothing
+            self.pool.learn_late(self.server, self.pool.loop.time() - self.idle_since)
+            return self.drop()
+        if self.wire is WRITING or (not self.begun and self._is_early()):
+            log.warning("an answer from %s:%d to a request that it did not have", *self.address)
+            if self.rested is not None:
+                self.pool.learn_late(self.server, self.rested)
+            self._break()
             return self.drop()
         try:
             self.parser.feed_data(data)
@@ -288,6 +365,7 @@
         self.keep = self.longest = config.keepalive / 1e6 * IDLE_SHARE
         # By backend, not by address: a new backend may stand where another one stood.
         self.idle: dict[bytes, list[Backend]] = {}
+        self.late: dict[bytes, float] = {}  # s that connections rest to backends that answered to nothing
         self.all: set[Backend] = set()
         loop.call_later(1.0, self._sweep)
 
@@ -305,8 +383,9 @@
 
     def _rested(self, server: bytes) -> Backend | None:
         resting, now = self.idle.get(server, []), self.loop.time()
+        rest = max(self.rest_time, self.late.get(server, 0.0)) if self.late else self.rest_time
         for n in range(len(resting) - 1, -1, -1):
-            if resting[n].idle_since <= now - self.rest_time:
+            if resting[n].idle_since <= now - rest:
                 connection = resting.pop(n)
                 connection.rested = now - connection.idle_since
                 if connection.rested <= self.keep and connection.is_clean():
@@ -317,6 +396,23 @@
     def recover(self) -> None:
         """Once a second: where none may rest, none would show that it could."""
         self.keep = min(self.longest, self.keep * KEEP_AGAIN)
+        if self.rest_time > REST:
+            self.rest_time = max(REST, self.rest_time * REST_AGAIN)
+        self.late = {server: rest * REST_AGAIN for server, rest in self.late.items() if rest > REST}
+
+    def learn_late(self, server: bytes, lateness: float) -> None:
+        """Bytes that belong to no answer came `lateness` s after the last one: connections rest longer.
+
+        Those to this backend by the whole of it, so that none is used again where it is over the time they
+        may rest at all. Those to all others only where it was news, at most twice as long as before and no
+        longer than the rest of an answer is waited for: a few bad backends cost the others few connections,
+        and what many do is soon known of those that are seldom seen.
+        """
+        known, wanted = self.late.get(server, 0.0), min(lateness * REST_MORE, self.longest)
+        self.late[server] = max(wanted, known)
+        if lateness > max(known, self.rest_time):
+            most = min(STALLED, self.keep * IDLE_SHARE, max(REST, self.rest_time) * REST_MORE)
+            self.rest_time = max(self.rest_time, min(wanted, most))
 
     def learn(self, rested: float, good: bool) -> None:
         """How long connections may rest: less than those that were found dead, in time again more."""
@@ -351,13 +447,17 @@
         """It has moved or is gone: its connections carry nothing more than what they have."""
         self.close_idle(server)
         self.withdraw(server)
+        self.late.pop(server, None)
         for connection in self.all:
             if connection.server == server:
                 connection.retired = True
 
     def withdraw(self, server: bytes) -> None:
-        """It takes nothing new: what is not written there yet never will be, however late its connection."""
-        for connection in [c for c in self.all if c.server == server and not c.written]:
+        """It takes nothing new: what is not written there yet never will be, however late its connection.
+
+        What has begun to be written is not new: for drains, a send counts from its first byte.
+        """
+        for connection in [c for c in self.all if c.server == server and c.wire is UNSENT]:
             if connection.attempt is not None:
                 connection.attempt.finish(Result.NOT_CONNECTED)
 
