Hear each change before it counts as told, and drain a server whose entry is odd

Cause, all in discovery.py. With WAIT of 4 s and up to 1 s for patience and pause, a watch that falls silent could be heard after 7.1 s with the pause and the call that follow, where what it misses counts as told after 6 s. The call after a failed one was a watch of full length, so a second silence cost its whole wait again. With no grace for drains patience was 0, and no call could be answered. Reader.read passed over an entry of which anything could not be read, so the drain it told of was missed; a number out of range, a second entry for a server, a host that is none, went on to the module or the pool as they were. RecursionError of a deep list, like any error of ours, left the connection open and a traceback. Each odd entry had a line in the log, of any length. A list in small chunks was held as so many objects. A version that `refetch` had reset while the watch paused was set again.

Change: WAIT is 3 s, patience and pause 0.5 s at most and 50 ms at least, the first watch after a failed call waits 1 ms, and `latest_news` sums the worst case for each state: at most 4,601,000 µs, and 2,052,000 after SIGHUP, with 1 s kept for our own turns (on a busy machine a list of 8 MB took 0.80 s of processor to read, 1.18 s with each of its entries odd). An entry that is odd in some part drains its server, unless it is gone; Door.listed keeps the address held, so that open work ends there. Changes of which an entry tells no server, or with two entries for one, are applied as far as they can be read and the whole list comes next, once. One line of the log for each list.

Tests on loopback with a clock that only the test moves. With the old constants in place the sums fail (grace of 1 s and 60 s), and so do silent watch, watch answered in part and moved at 60 s; without the least patience, ten fail; without the short watch, without the refetch and without the care for deep lists, those of their names. Reading a list of 200 servers takes 1.5 to 1.7 ms in place of 0.83; it is read whole at the start and after failures only.

--- a/irisdeal/discovery.py
+++ b/irisdeal/discovery.py
@@ -5,8 +5,9 @@
 import asyncio
 import json
 import logging
+import re
 from collections.abc import Callable
-from typing import Any, cast
+from typing import Any, TypeVar, cast
 
 import httptools
 
@@ -15,27 +16,85 @@
 
 log = logging.getLogger("irisdeal.discovery")
 
-# ms that a watch may take: one whose peer has silently gone is found that late. What it misses counts as told
-# 6 s after it fell silent.
-WAIT = 4_000
+# µs after which a change counts as told, by the standing test's page: from when discovery had it and could be
+# reached, or from when a watch fell silent; and after SIGHUP.
+TOLD_AFTER, TOLD_AFTER_MOVE = 6_000_000, 4_000_000
+# µs of that which are not for waiting: to read a list of the most bytes, to get the processor for the turns
+# of two calls, and for the loop's timers, which count whole ms. `latest_news` stays under the rest.
+OWN_TIME = 1_000_000
+# ms that a watch may take: one whose peer has silently gone is found that late. Shorter than it could be by
+# `latest_news`; a call more costs little, as the agent is on our own machine and answers at no cost.
+WAIT = 3_000
+# ms that the first watch after a failed call may take: what was missed meanwhile is there at once or not at
+# all, and a second silence must not cost a whole watch again.
+SHORT_WAIT = 1
 PAUSE = 0.05  # s before a failed call is made again, doubled each time
 # What discovery gets on its return from silence counts as told at once, and from then the grace for drains
 # runs. So we must hear of it within a part of that grace, whichever state we are in:
-PATIENCE_SHARE, PATIENCE_MOST = 0.4, 1.0  # for a connection or an answer that is due, and s at the most
-PAUSE_SHARE, PAUSE_MOST = 0.2, 1.0  # for the longest pause, and s at the most
+PATIENCE_SHARE, PATIENCE_MOST = 0.4, 0.5  # for a connection or an answer that is due, and s at the most
+PAUSE_SHARE, PAUSE_MOST = 0.2, 0.5  # for the longest pause, and s at the most
+PATIENCE_LEAST = 0.05  # s: also where the grace is next to nothing, an agent that answers must be heard
 MOST_LIST = 8_000_000
+MOST_NUMBER = 2 ** 53  # up to here JSON's numbers are exact; a later time is none
+MOST_LOGGED = 200  # characters of what is told that go to the log
 MOST_NAMES = 64  # of zones, and of kinds
 STATES = {"Ready": ServerState.READY, "Terminating": ServerState.DRAINING, "Gone": ServerState.GONE}
+HOST = re.compile(r"[!-\-/-~]{1,63}(\.[!-\-/-~]{1,63})*")  # each label printable, and as long as it may be
+READINESS = (ServerState.GONE, ServerState.DRAINING, ServerState.READY)
+
+T = TypeVar("T")
 
 Found = Callable[[ServerList, dict[bytes, Address]], None]
 
 
+def patience(grace: int) -> float:
+    """Seconds for a connection or an answer that is due, by the grace for drains in µs."""
+    return max(PATIENCE_LEAST, min(PATIENCE_MOST, PATIENCE_SHARE * grace / 1e6))
+
+
+def longest_pause(grace: int) -> float:
+    """Seconds at the most between a failed call and the next, by the grace for drains in µs."""
+    return max(PAUSE, min(PAUSE_MOST, PAUSE_SHARE * grace / 1e6))
+
+
+def latest_news(grace: int) -> dict[str, int]:
+    """Worst µs until a change is heard, for each state that we may be in as it comes; without our own time.
+
+    They count from when discovery has the change and can be reached, or from when a watch fell silent: one
+    call may still fail, as it was made before that; the next is answered as late as our patience allows.
+    """
+    due, pause = patience(grace), longest_pause(grace)
+    call = due + due + SHORT_WAIT / 1000  # the connection and the answer
+    # The calls before a watch that is as long as it may be went well: the pause after it is the first.
+    watch = PAUSE + WAIT / 1000 + due + PAUSE + call
+    states = {
+        "silent watch": watch,
+        "watch answered in part": watch,  # which then stalls, or drips without end
+        "watch reset": PAUSE + call,
+        "refused": pause + call,
+        "never connected": due + pause + call,
+        "slow answer": call + pause + call,  # also of the whole list; stalls and drips are no better
+        "unreadable list": pause + call,
+        "own error": pause + call,
+        "moved": call + PAUSE + call,  # counted from SIGHUP
+        "start": call,  # until what is remembered may serve
+    }
+    return {state: round(seconds * 1e6) for state, seconds in states.items()}
+
+
 class Reader:
-    """Lists in discovery's form to `ServerList`. Names get the settings' numbers, new ones further ones."""
+    """Lists in discovery's form to `ServerList`. Names get the settings' numbers, new ones further ones.
+
+    An entry of which something cannot be read stands for a server that drains, unless it is gone: nothing new
+    goes there. `unclear` tells that the last list had entries with no server, or two for one: only another
+    list can tell whose news that was, or which holds.
+    """
 
     def __init__(self, config: Config) -> None:
         self.zones = {name: n for n, name in enumerate(config.zones)}
         self.kinds = {name: n for n, name in enumerate(config.kinds)}
+        self.unclear = False
+        self.odd: list[str] = []  # what the last list had that cannot be read
 
     def read(self, told: object, kind: ListKind | None = None) -> tuple[ServerList, dict[bytes, Address]]:
         """The list and the addresses it tells; ValueError where it is none."""
@@ -43,41 +102,101 @@
             raise ValueError("no list of members")
         if kind is None:
             kind = ListKind.COMPLETE if told.get("complete") is True else ListKind.CHANGES
-        entries: list[ServerEntry] = []
+        version, self.unclear, self.odd = _version(told), False, []
+        entries: dict[bytes, ServerEntry] = {}
         places: dict[bytes, Address] = {}
         for member in told["members"]:
             try:
-                entry, place = self._entry(member)
-            except (ValueError, TypeError, KeyError, OverflowError) as error:
-                log.warning("odd entry of the list passed over: %s", error)
+                server = _server(member)
+            except ValueError as error:
+                self.unclear = True
+                self.odd.append(str(error))
                 continue
-            if entry.state is not ServerState.GONE or kind is ListKind.CHANGES:
-                entries.append(entry)
-                if place is not None:
-                    places[entry.server] = place
-        return ServerList(kind, _version(told), tuple(entries)), places
-
-    def _entry(self, member: dict[str, Any]) -> tuple[ServerEntry, Address | None]:
-        if not (isinstance(member, dict) and isinstance(member.get("id"), str) and member["id"]):
-            raise ValueError("no id")
-        state = STATES.get(member.get("phase", ""))
-        if state is None:  # safe: nothing new goes there
-            log.warning("unknown phase %r", member.get("phase"))
+            entry, place = self._entry(server, member)
+            other = entries.get(server)
+            if other is not None and other != entry:
+                self.unclear = True
+                self.odd.append(f"two entries for {_shown(member['id'])}")
+                if READINESS.index(other.state) < READINESS.index(entry.state):
+                    continue  # the one that is less ready counts
+            entries[server] = entry
+            if place is not None:
+                places[server] = place
+            if entry.state is ServerState.GONE:
+                places.pop(server, None)
+        if self.odd:  # one line: there may be many
+            log.warning("list %d: odd at %d places, first: %.200s", version, len(self.odd), self.odd[0])
+        told_of = (e for e in entries.values() if e.state is not ServerState.GONE or kind is ListKind.CHANGES)
+        return ServerList(kind, version, tuple(told_of)), places
+
+    def _entry(self, server: bytes, member: dict[str, Any]) -> tuple[ServerEntry, Address | None]:
+        odd = len(self.odd)
+        state = self._field(member, "phase", _state, ServerState.DRAINING)
+        gone = state is ServerState.GONE
+        place = None if gone else self._field(member, "host_port", _place, None)
+        started = self._field(member, "up_since_ms", _whole, 0)
+        weight = self._field(member, "size", _weight, 1.0)
+        zone = self._field(member, "locality", lambda name: _number(self.zones, name), 0)
+        cell = self._field(member, "cell", _whole, 0)
+        kind = self._field(member, "flavor", lambda name: _number(self.kinds, name), 0)
+        if len(self.odd) > odd and not gone:  # safe: nothing new goes there
             state = ServerState.DRAINING
-        place = None if state is ServerState.GONE else address(member.get("host_port"), "host_port")
-        return ServerEntry(
-            server=member["id"].encode(),
-            state=state,
-            started=max(0, int(member.get("up_since_ms") or 0)) * 1000,
-            weight=float(member.get("size") or 1.0),
-            zone=_number(self.zones, member.get("locality")),
-            cell=int(member.get("cell") or 0),
-            kind=_number(self.kinds, member.get("flavor")),
-        ), place
+        return ServerEntry(server, state, max(0, started) * 1000, weight, zone, cell, kind), place
+
+    def _field(self, member: dict[str, Any], key: str, read: Callable[[object], T], otherwise: T) -> T:
+        try:
+            return read(member.get(key))
+        except ValueError as error:
+            self.odd.append(f"{key} is {_shown(member.get(key))}: {error}")
+            return otherwise
+
+
+def _shown(value: object) -> str:
+    """A value for the log: its text may be long, and a list may be too deep to have one."""
+    return f"{value!r:.60}" if isinstance(value, str | int | float) else type(value).__name__
+
+
+def _server(member: object) -> bytes:
+    name = member.get("id") if isinstance(member, dict) else None
+    if not (isinstance(name, str) and name):
+        raise ValueError("no id")
+    return name.encode()
+
+
+def _state(phase: object) -> ServerState:
+    if not (isinstance(phase, str) and phase in STATES):
+        raise ValueError("no phase that is known")
+    return STATES[phase]
+
+
+def _place(text: object) -> Address:
+    host, port = address(text if isinstance(text, str) else "", "host_port")
+    if not HOST.fullmatch(host):
+        raise ValueError("no name of a host")  # which would be an error only as we connect there
+    return host, port
+
+
+def _whole(value: object) -> int:
+    """A whole number; 0 where none is told."""
+    if value is None:
+        return 0
+    if isinstance(value, bool) or not isinstance(value, int | float) or not abs(value) <= MOST_NUMBER:
+        raise ValueError("wanted a number")
+    return int(value)
+
+
+def _weight(value: object) -> float:
+    if value is None:
+        return 1.0
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value <= MOST_NUMBER:
+        raise ValueError("wanted a number over 0")
+    return float(value)
 
 
 def _number(names: dict[str, int], name: object) -> int:
     """The number of a name. Once there are many, new ones share one: the table must not grow all day."""
+    if name is not None and not isinstance(name, str | int | float):
+        raise ValueError("wanted a name")
     number = names.get(str(name))
     if number is None:
         number = len(names)
@@ -89,7 +208,7 @@
 def _version(told: dict[str, Any]) -> int:
     revision = told.get("revision")
     if not isinstance(revision, int) or isinstance(revision, bool) or revision < 0:
-        raise ValueError(f"revision is {revision!r}")
+        raise ValueError(f"revision is {_shown(revision)}")
     return revision
 
 
@@ -99,15 +218,14 @@
     def __init__(self, place: Address) -> None:
         self.host = f"{place[0]}:{place[1]}".encode()
         self.transport: asyncio.Transport | None = None
-        self.answer: asyncio.Future[bytes] | None = None
+        self.answer: asyncio.Future[bytearray] | None = None
         self.parser = httptools.HttpResponseParser(self)
-        self.parts: list[bytes] = []
-        self.size = 0
+        self.body = bytearray()  # one piece: a list of many small ones would take several times its size
 
-    def get(self, path: bytes) -> asyncio.Future[bytes]:
+    def get(self, path: bytes) -> asyncio.Future[bytearray]:
         if self.transport is None:  # it ended in the turn in which it came up
             raise ConnectionResetError("connection ended")
-        self.parts, self.size = [], 0
+        self.body = bytearray()
         self.answer = asyncio.get_running_loop().create_future()
         self.transport.write(b"GET " + path + b" HTTP/1.1\r\nHost: " + self.host + b"\r\n\r\n")
         return self.answer
@@ -139,10 +257,9 @@
             self._fail(ValueError(f"odd answer: {error.__context__ or error}"))
 
     def on_body(self, body: bytes) -> None:
-        self.size += len(body)
-        if self.size > MOST_LIST:
+        if len(self.body) + len(body) > MOST_LIST:
             raise ValueError(f"list over {MOST_LIST} bytes")
-        self.parts.append(body)
+        self.body += body
 
     def on_message_complete(self) -> None:
         status = self.parser.get_status_code()
@@ -151,7 +268,7 @@
         if status != 200:
             return self._fail(ValueError(f"status {status}"))
         if self.answer is not None and not self.answer.done():
-            self.answer.set_result(b"".join(self.parts))
+            self.answer.set_result(self.body)
         if not self.parser.should_keep_alive():
             self.close()
 
@@ -166,9 +283,9 @@
         self.call: Call | None = None
         self.task: asyncio.Task[None] | None = None
         self.known = config.known
-        grace = config.settings.drain_grace / 1e6
-        self.patience = min(PATIENCE_MOST, PATIENCE_SHARE * grace)
-        self.longest_pause = max(PAUSE, min(PAUSE_MOST, PAUSE_SHARE * grace))
+        self.wait = WAIT  # ms for the next watch
+        self.patience = patience(config.settings.drain_grace)
+        self.longest_pause = longest_pause(config.settings.drain_grace)
 
     def remember(self) -> None:
         """Pass on the list that the configuration brought."""
@@ -206,42 +323,49 @@
         while True:
             try:
                 await self._next()
-                pause = PAUSE
-            except (OSError, TimeoutError, ValueError) as error:
-                log.warning("discovery: %s", error or "timed out")
-                self.unheard()
-                if isinstance(error, ValueError):
+                pause, self.wait = PAUSE, WAIT
+            except Exception as error:  # also one of ours must not end the watch
+                if isinstance(error, OSError | TimeoutError | ValueError):
+                    log.warning("discovery: %.200s", str(error) or "timed out")
+                else:
+                    log.exception("discovery")
+                if not isinstance(error, OSError | TimeoutError):
                     self.version = -1  # what was told, or whether our version is known: start from the whole
                 if self.call is not None:
                     self.call.close()
-                self.call = None
+                self.call, self.wait = None, SHORT_WAIT
+                self.unheard()
                 await asyncio.sleep(pause)
                 pause = min(self.longest_pause, 2 * pause)
-            except Exception:  # an error of ours must not end the watch
-                log.exception("discovery")
-                self.unheard()
-                self.version, self.call = -1, None
-                await asyncio.sleep(self.longest_pause)
 
     async def _next(self) -> None:
         """One call: asked again at once after the last, or what changes between counts as told unheard."""
-        whole = self.version < 0
-        path = b"/catalog/members" + (b"" if whole else b"?index=%d&wait=%d" % (self.version, WAIT))
-        asked = asyncio.get_running_loop().time()
+        loop = asyncio.get_running_loop()
+        asked = loop.time()
         if self.call is None or not self.call.usable():
             async with asyncio.timeout(self.patience):
                 self.call = call = Call(self.place)
-                await asyncio.get_running_loop().create_connection(lambda: call, *self.place)
-        async with asyncio.timeout(self.patience + (0 if whole else WAIT / 1000)):
+                await loop.create_connection(lambda: call, *self.place)
+        held, wait = self.version, 0 if self.version < 0 else self.wait
+        path = b"/catalog/members" + (b"?index=%d&wait=%d" % (held, wait) if wait else b"")
+        async with asyncio.timeout(self.patience + wait / 1000):  # in all, however often a part of it comes
             text = await self.call.get(path)
-        told, places = self.reader.read(json.loads(text))
-        if told.kind is ListKind.CHANGES and whole:
+        told, places = self.reader.read(_parsed(text))
+        if told.kind is ListKind.CHANGES and held < 0:
             raise ValueError("changes to a list that is not held")
-        if told.version < self.version:
-            raise ValueError(f"version {told.version} after {self.version}")  # old, or discovery began anew
+        if told.version < held:
+            raise ValueError(f"version {told.version} after {held}")  # old, or discovery began anew
+        unclear = told.kind is ListKind.CHANGES and self.reader.unclear
+        self.version = -1 if unclear else told.version  # the whole list may tell; where it does not, so be it
         news = bool(told.entries) or told.kind is ListKind.COMPLETE
         if news:
             self.found(told, places)
-        elif asyncio.get_running_loop().time() < asked + PAUSE:
+        if (unclear or not news or told.version == held) and loop.time() < asked + PAUSE:
             await asyncio.sleep(PAUSE)  # one that answers each watch at once must not take the core
-        self.version = told.version
+
+
+def _parsed(text: bytearray) -> object:
+    try:
+        return json.loads(text)
+    except RecursionError:
+        raise ValueError("list too deep") from None
--- a/irisdeal/door.py
+++ b/irisdeal/door.py
@@ -145,8 +145,10 @@
         whole = told.kind is not ListKind.CHANGES
         self.places = dict(places) if whole else {**old, **places}
         for entry in told.entries:
-            if entry.server not in places:
+            if entry.state is ServerState.GONE:
                 self.places.pop(entry.server, None)
+            elif entry.server not in places and entry.server in old:  # no address that can be read: it drains
+                self.places[entry.server] = old[entry.server]  # and what is open there goes on
         self.post(told)  # before what ends by it, so that nothing turns to another that drains as well
         for server, place in old.items():
             if self.places.get(server) != place:  # moved or gone
