Ask a client's socket before each attempt begins, and hold its connection in one state

After a half-close `eof_received` let the transport wait for its unwritten answers, so `connection_lost` and with it the request's end could come far later. And a request that was released left the books (`Door._final`) before the module knew: what the module sent for it in the same turn had no end, and its slot was gone for good.

Change: `Door._send`, and a backend's connection that has just come up, ask the client's socket (`Client.look`); one that has left ends all it has open by `Door._final`. An end of the client's side releases its requests at once. A request stays in the books until the turn in which the module hears of its end is over. `closing`, `broken`, `paused` and `ends_at` are one state with one table (`TABLE`) and one place for transitions (`Client._change`); whether the connection is read is decided in `Client._steer`. Two faults that the table showed: at the end of the process a connection that still read its last answer was closed once more, over unread bytes; and half a request behind the last one, which is never read, made the requests ahead of it fail after 1.5 s. To make up for the look, the size of a head is added up without a call for each header.

Tests that named `ends_at` (test_ending.py, test_patience.py) name the state ENDING; nothing else in them changed. The 18 new cases of test_leaving.py fail on the version before; the three new tests of test_clients.py fail with the table changed, with the log entry left out, and with each of the two faults put back.

--- a/irisdeal/backends.py
+++ b/irisdeal/backends.py
@@ -72,8 +72,8 @@
 class Attempt:
     """One attempt of a request, out until `finish`."""
 
-    __slots__ = ("address", "connection", "done", "number", "on_end", "payload", "request", "sent", "server",
-                 "timer")
+    __slots__ = ("address", "connection", "done", "number", "on_begin", "on_end", "payload", "request",
+                 "sent", "server", "timer")
 
     def __init__(
         self, request: Any, number: int, server: bytes, sent: int,
@@ -81,6 +81,7 @@
     ) -> None:
         self.request, self.number, self.server, self.sent, self.on_end = request, number, server, sent, on_end
         self.address: Address = ("", 0)
+        self.on_begin: Callable[[], object] = bool  # as its connection has come up; may end it
         self.payload = b""
         self.connection: Backend | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -206,6 +207,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         transport = cast(asyncio.Transport, transport)  # uvloop's is none by its type
         self.transport = transport
+        if self.attempt is not None:
+            self.attempt.on_begin()
         if self.lost or self.attempt is None:
             return self.drop()
         self.parser = httptools.HttpResponseParser(self)
--- a/irisdeal/clients.py
+++ b/irisdeal/clients.py
@@ -9,6 +9,7 @@
 import select
 from collections import deque
 from collections.abc import Callable
+from enum import Enum, auto
 from functools import lru_cache
 from typing import Protocol, cast
 
@@ -33,8 +34,7 @@
 # From this share of the places on, answers end their connections, and an idle one gets only so long.
 CROWDED, IDLE_IN_CROWD = 0.85, 2.0
 LINGER = 1.0  # s that a client may take to read why its connection ends
-# s. A client that leaves while its connection is read no further shows only then; within 0.3 s it must.
-SWEEP = 0.2
+SWEEP = 0.2  # s between two looks at what takes too long, or has left while it is read no further
 # Headers that speak of one connection, or that are written anew.
 NOT_FORWARDED = frozenset((
     b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
@@ -53,6 +53,50 @@
     500: b"Internal Server Error", 502: b"Bad Gateway", 503: b"Service Unavailable"}
 
 
+class State(Enum):
+    """Where a client's connection stands."""
+
+    NEW = auto()  # accepted; its transport is not up yet
+    OPEN = auto()  # requests are read and taken
+    LAST = auto()  # nothing more is taken, and not all that was is answered
+    BROKEN = auto()  # what came cannot be read on: the error waits for its turn among the answers
+    ENDING = auto()  # nothing is open; what is written may still be read, for `LINGER`
+    GONE = auto()  # the transport is lost, or cut
+
+
+class Change(Enum):
+    """What happens to a client's connection."""
+
+    MADE = auto()  # its transport is up
+    LAST_TAKEN = auto()  # no request comes after the newest
+    REJECTED = auto()  # its bytes are no requests, or come too slowly
+    ANSWERED = auto()  # the last answer is written
+    RETIRED = auto()  # closed between requests
+    LEFT = auto()  # the client has closed its side, or reset the connection
+    CUT = auto()  # we end it at once
+    LOST = auto()  # the transport's last word
+
+
+NEW, OPEN, LAST, BROKEN, ENDING, GONE = State  # a name of the module's is found sooner, at each request
+# Each change that a state may meet, and the state after it; any other is a fault of ours, and is logged.
+TABLE = {
+    NEW: {
+        Change.MADE: OPEN, Change.RETIRED: GONE, Change.CUT: GONE, Change.LOST: GONE},
+    OPEN: {
+        Change.LAST_TAKEN: LAST, Change.REJECTED: BROKEN, Change.RETIRED: ENDING,
+        Change.LEFT: ENDING, Change.CUT: GONE, Change.LOST: GONE},
+    LAST: {  # what comes behind the last request is not read, whatever it is
+        Change.LAST_TAKEN: LAST, Change.REJECTED: LAST, Change.ANSWERED: ENDING,
+        Change.LEFT: ENDING, Change.CUT: GONE, Change.LOST: GONE},
+    BROKEN: {
+        Change.REJECTED: BROKEN, Change.ANSWERED: ENDING,
+        Change.LEFT: ENDING, Change.CUT: GONE, Change.LOST: GONE},
+    ENDING: {  # closed once more with bytes unread, it would be reset, and the answer lost
+        Change.REJECTED: ENDING, Change.RETIRED: ENDING,
+        Change.LEFT: ENDING, Change.CUT: GONE, Change.LOST: GONE},
+    GONE: {Change.MADE: GONE, Change.LOST: GONE}}
+
+
 class Malformed(Exception):
     """A request that goes no further; answered with this status and text."""
 
@@ -114,11 +158,13 @@
         self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self.transport: asyncio.Transport | None = None
         self.waiting: deque[ClientRequest] = deque()
-        self.in_message = self.in_trailer = self.closing = self.full = self.broken = self.paused = False
+        self.poller: select.poll | None = None  # made at the first look
+        self.state = NEW
+        self.in_message = self.in_trailer = False
+        self.full = False  # the transport's write buffer
         self.spoke = False  # has sent a whole request
-        self.since = side.now()  # of the last change between idle and busy
+        self.since = side.now()  # of the last change between idle and busy, or of its end's begin
         self.begun = self.since  # of the request that comes in
-        self.ends_at = 0.0  # when the connection is cut, once it closes
         self._reset()
 
     def protocol(self) -> asyncio.Protocol:
@@ -134,26 +180,64 @@
         self.parts: list[bytes] = []
         self.body_size, self.framed = 0, False
 
+    # The state
+
+    def _change(self, change: Change) -> bool:
+        """The one place where the state changes; whether it did."""
+        before, after = self.state, TABLE[self.state].get(change)
+        if after is None:
+            log.error("a client's connection that is %s met %s", before.name, change.name)
+            return False
+        if after is before:
+            return False
+        self.state = after
+        if after is ENDING or after is GONE:
+            self.since = self.side.now()
+            self._release()
+        if after is GONE:
+            self.side.connections.pop(self, None)
+            self.parser = None  # parser and connection hold each other
+            if self.transport is not None:
+                self.transport.abort()
+        return True
+
+    def _release(self) -> None:
+        """What is unanswered here can be answered no more."""
+        waiting, self.waiting = self.waiting, deque()
+        for request in waiting:
+            if not request.answer:
+                self.side.open_traces.discard(request.trace)
+                self.side.door.gone(request)
+
+    def _steer(self) -> None:
+        """The one place that decides whether it is read: while more could be taken, and at its end."""
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return
+        held = self.full or len(self.waiting) >= MOST_PIPELINED  # full: it does not read its answers
+        wanted = not (held and (self.state is OPEN or self.state is LAST))
+        if wanted is transport.is_reading():
+            return
+        if wanted:
+            self.begun = self.side.now()  # what we did not read was not slow
+            transport.resume_reading()
+        else:
+            transport.pause_reading()
+
     # The transport's calls
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         transport = cast(asyncio.Transport, transport)  # uvloop's is none by its type
         self.transport = transport
-        if self.closing:  # it had to make room meanwhile
+        if not self._change(Change.MADE):  # it had to make room meanwhile
             transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.closing = True
-        self.side.connections.pop(self, None)
-        waiting, self.waiting, self.transport = self.waiting, deque(), None
-        self.parser = None  # parser and connection hold each other
-        for request in waiting:
-            if not request.answer:
-                self.side.open_traces.discard(request.trace)
-                self.side.door.gone(request)
+        self.transport = None
+        self._change(Change.LOST)
 
     def data_received(self, data: bytes) -> None:
-        if self.closing or self.parser is None:
+        if self.state is not OPEN or self.parser is None:
             return
         try:
             self.parser.feed_data(data)
@@ -167,30 +251,19 @@
                 fault = Malformed(400, "malformed request")
             self._reject(fault)
         if len(self.waiting) >= MOST_PIPELINED:
-            self._pause()
-
-    def _pause(self) -> None:
-        if self.transport is not None and not (self.paused or self.broken):
-            self.paused = True
-            self.transport.pause_reading()
+            self._steer()
 
     def eof_received(self) -> bool:
-        return False  # a client that has closed its side has gone away
+        self._leave()  # a client that has closed its side has gone away
+        return False
 
     def pause_writing(self) -> None:
-        self.full = True  # it does not read its answers: take no further requests meanwhile
-        self._pause()
+        self.full = True
+        self._steer()
 
     def resume_writing(self) -> None:
         self.full = False
-        self._read_on()
-
-    def _read_on(self) -> None:
-        if (self.paused and self.transport is not None and not (self.full or self.closing)
-                and len(self.waiting) < MOST_PIPELINED):
-            self.paused = False
-            self.begun = self.side.now()  # what we did not read was not slow
-            self.transport.resume_reading()
+        self._steer()
 
     # The parser's calls
 
@@ -200,10 +273,14 @@
 
     def on_url(self, url: bytes) -> None:
         self.url += url
-        self._grow(len(url))
+        self.size += len(url)
+        if self.size > MOST_HEAD:
+            raise self._too_long()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._grow(len(name) + len(value) + 4)
+        self.size += len(name) + len(value) + 4
+        if self.size > MOST_HEAD:
+            raise self._too_long()
         if self.in_trailer:  # behind a chunked body: no header of the request
             return
         key = name.lower()
@@ -222,10 +299,9 @@
         if key not in NOT_FORWARDED:
             self.lines += (name, b": ", value, b"\r\n")
 
-    def _grow(self, size: int) -> None:
-        self.size += size
-        if self.size > MOST_HEAD:  # a head without end would fill the memory
-            raise Malformed(431, f"head over {MOST_HEAD} bytes")
+    def _too_long(self) -> Malformed:
+        """A head without end would fill the memory."""
+        return Malformed(431, f"head over {MOST_HEAD} bytes")
 
     def on_headers_complete(self) -> None:
         self.in_trailer = True
@@ -239,14 +315,16 @@
         self.parts.append(body)
 
     def on_message_complete(self) -> None:
-        self.in_message, self.since, self.spoke = False, self.side.now(), True
-        if self.closing or self.parser is None:
+        self.in_message = False
+        if self.state is not OPEN or self.parser is None:
             return  # pipelined behind the last request of this connection
+        self.since, self.spoke = self.side.now(), True
         if len(self.waiting) >= MOST_PIPELINED + MOST_BEHIND:
             raise Malformed(503, "too many requests at once")
         request = ClientRequest(self)
-        request.then_close = self.closing = not self.parser.should_keep_alive()
         self.waiting.append(request)
+        if not self.parser.should_keep_alive():
+            self._take_as_last(request)
         if len(self.waiting) > MOST_PIPELINED:  # all of one read come here, however many
             return request.reply(503, b"too many requests at once\n")
         if self.url.partition(b"?")[0] == b"/_health":
@@ -316,7 +394,7 @@
         if request.answer or self.transport is None or self.transport.is_closing():
             return  # one final answer, and none to a client that has left
         if (self.side.draining or self.side.crowded()) and request is self.waiting[-1]:
-            request.then_close = self.closing = True  # behind others it would take their answers along
+            self._take_as_last(request)  # behind others it would take their answers along
         self.side.open_traces.discard(request.trace)
         request.answer = b"".join((
             b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n" % (status, REASONS.get(status, b"Other"), len(body)),
@@ -328,28 +406,26 @@
                 return self._linger()
         self.since = self.side.now()
         if self.side.draining and self.is_idle():  # its last answer was worded before the end had come
-            return self._close()
-        self._read_on()
+            return self.retire()
+        self._steer()
 
-    def _close(self) -> None:
-        """Between requests: what has come meanwhile is not read, and the client sends it once more."""
-        self.closing, self.ends_at = True, self.side.now() + LINGER
-        if self.transport is not None:
-            self.transport.close()
+    def _take_as_last(self, request: ClientRequest) -> None:
+        """The newest request; its answer ends the connection."""
+        if not request.then_close:
+            request.then_close = True
+            self._change(Change.LAST_TAKEN)
 
     def _linger(self) -> None:
         """After an answer: closed with bytes unread, the connection would be reset, and the answer lost."""
-        self.closing, self.ends_at = True, self.side.now() + LINGER
-        if self.transport is not None:
+        if self._change(Change.ANSWERED) and self.transport is not None:
             self.transport.write_eof()
-            if self.paused:
-                self.transport.resume_reading()
+            self._steer()
 
     def _reject(self, fault: Malformed) -> None:
         """The framing is lost: answer in turn, then close."""
-        if self.closing:
+        if not self._change(Change.REJECTED):
             return
-        self.closing = self.in_message = self.broken = True
+        self.in_message = False
         request = ClientRequest(self)
         request.then_close = True
         self.waiting.append(request)
@@ -357,41 +433,58 @@
 
     def _end_after_last(self) -> None:
         """The peer asked for another protocol; what follows is not HTTP."""
-        self.closing = True
         if self.waiting:
-            self.waiting[-1].then_close = True
+            self._take_as_last(self.waiting[-1])
         else:
-            self._close()
+            self.retire()
 
     def is_idle(self) -> bool:
         return not (self.waiting or self.in_message)
 
     def is_owed(self) -> bool:
         """Whether a request is unanswered or being read, or the last answer still to be written."""
-        if self.ends_at:
+        if self.state is ENDING:
             return self.transport is not None and self.transport.get_write_buffer_size() > 0
         return not self.is_idle()
 
     def retire(self) -> None:
-        """Close an idle connection."""
-        self._close()
+        """Between requests: what has come meanwhile is not read, and the client sends it once more."""
+        if self._change(Change.RETIRED) and self.transport is not None:
+            self.transport.close()
+
+    def cut(self) -> None:
+        self._change(Change.CUT)
 
     def has_left(self) -> bool:
-        """Whether the client has closed its side or reset; while we do not read, only the socket can tell."""
-        if self.transport is None:
+        """Whether the client has closed its side or reset, also where the loop has not read so far."""
+        if self.transport is None or self.transport.is_closing():
             return True
-        poller = select.poll()
-        poller.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
-        return bool(poller.poll(0))
+        if self.poller is None:
+            self.poller = select.poll()
+            self.poller.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        return bool(self.poller.poll(0))
+
+    def look(self) -> bool:
+        """Asked before an attempt begins: whether the client has left. All that it has open ends then."""
+        left = self.has_left()
+        if left:
+            self._leave()
+        return left
+
+    def _leave(self) -> None:
+        if self._change(Change.LEFT) and self.transport is not None:
+            self.transport.close()
 
     def check(self, now: float, longest_idle: float) -> None:
         """End what takes too long."""
-        if self.paused and self.transport is not None and not self.ends_at and self.has_left():
-            self.transport.abort()
-        elif self.ends_at:
-            if now > self.ends_at and self.transport is not None:
-                self.transport.abort()  # it neither reads what it is owed nor closes
-        elif self.broken or (self.in_message and not self.paused):
+        if self.state is ENDING:
+            if now - self.since > LINGER:
+                self.cut()  # it neither reads what it is owed nor closes
+            return
+        read = self.transport is None or self.transport.is_reading()
+        if not read and self.look():
+            return
+        if self.state is BROKEN or (self.state is OPEN and self.in_message and read):
             if now - self.begun > SLOW_REQUEST:
                 self._reject(Malformed(408, "request came too slowly"))
                 for request in [r for r in self.waiting if not r.answer]:  # what is open ahead of it ends too
@@ -437,15 +530,13 @@
     def _make_room(self) -> bool:
         """One that is silent or ends makes room, else the longest idle; the busy and the fresh stay."""
         before = self.now() - IDLE_IN_CROWD
-        useless = (c for c in self.connections if c.ends_at or (c.is_idle() and not c.spoke))
+        useless = (c for c in self.connections
+                   if c.state is ENDING or (c.is_idle() and not c.spoke))
         idle = [c for c in self.connections if c.is_idle() and c.since < before]
         client = next(useless, None) or min(idle, key=lambda c: c.since, default=None)
         if client is None:
             return False
-        del self.connections[client]
-        client.closing = True
-        if client.transport is not None:
-            client.transport.abort()
+        client.cut()
         return True
 
     def crowded(self) -> bool:
@@ -476,7 +567,7 @@
             client.retire()
 
     def awaits_first(self) -> bool:
-        return any(not (c.spoke or c.ends_at) for c in self.connections)
+        return any(not (c.spoke or c.state is ENDING) for c in self.connections)
 
     def owes(self) -> bool:
         return any(c.is_owed() for c in self.connections)
--- a/irisdeal/door.py
+++ b/irisdeal/door.py
@@ -43,7 +43,7 @@
 
 
 class Open:
-    """A request in the books: until it is answered and none of its attempts is out."""
+    """A request in the books: until it has ended, none of its attempts is out and the module knows."""
 
     __slots__ = ("attempts", "client", "final", "gives_up", "guard", "out")
 
@@ -67,6 +67,7 @@
             self.counter = Counter(config.counter, self.settings.counter_timeout, self.post, loop)
         self.requests: dict[int, Open] = {}
         self.unanswered = 0
+        self.closed: list[int] = []  # requests whose end the module hears of in the next turn
         self.last_number = 0
         self.places: dict[bytes, Address] = {}
         self.events = Batch()
@@ -90,17 +91,21 @@
 
     def _turn(self) -> None:
         events, self.events = self.events, Batch()
+        closed, self.closed = self.closed, []
         self.scheduled = False
         try:
             actions = self.decider.handle(self.clock.now(), events)
         except Exception:
             log.exception("a decision failed")
             actions = self._rescue(events)
+            closed, self.closed = [], closed + self.closed  # it may not have read so far
         for action in actions:
             try:
                 self._apply(action)
             except Exception:  # guards the others: one action's failure is its own
                 log.exception("%r failed", action)
+        for number in closed:  # not before: what it sends before it hears of the end is owed an end too
+            self.requests.pop(number, None)
 
     def _rescue(self, events: Batch) -> list[Action]:
         """One event failed: its request fails, what was decided before it stands, the rest goes on."""
@@ -181,10 +186,12 @@
         request = self.requests.get(number)
         if request is not None and not request.final:
             answer(request.client)
-            self._final(number, request)
+            self._final(request)
+            if not request.out:
+                self.closed.append(number)
             self.post(RequestEnded(number))
 
-    def _final(self, number: int, request: Open) -> None:
+    def _final(self, request: Open) -> None:
         """The one place where a request ends. What is written goes on and counts; nothing new is written."""
         request.final = True
         if request.guard is not None:
@@ -192,8 +199,6 @@
         for attempt in request.attempts:
             if not attempt.is_written():  # its connection still comes up
                 attempt.finish(Result.NOT_SENT)
-        if not request.out:
-            self.requests.pop(number, None)
         self.unanswered -= 1
 
     def drain(self, by: int) -> None:
@@ -226,6 +231,8 @@
         attempt = Attempt(action.request, len(request.attempts), action.server, now, self._ended)
         request.attempts.append(attempt)
         request.out += 1
+        if not request.final:
+            request.client.where.look()
         place = self.places.get(action.server)
         left = request.gives_up - now
         if action.timeout > 0:
@@ -233,7 +240,7 @@
         if request.final or place is None or left <= 0 or attempt.number >= self.settings.max_attempts:
             return attempt.finish(Result.NOT_SENT)
         client = request.client
-        attempt.address = place
+        attempt.address, attempt.on_begin = place, client.where.look
         length = b"Content-Length: %d\r\n" % len(client.body) if client.is_write else b""
         attempt.payload = b"".join((
             client.head, length, b"X-Expires-In: %dm\r\n\r\n" % max(1, left // 1000), client.body))
@@ -248,9 +255,9 @@
         if result is Result.OK and answer is not None and not request.final:
             kind = answer.content_type
             request.client.reply(200, answer.body, b"Content-Type: " + kind + b"\r\n" if kind else b"")
-            self._final(number, request)
-        elif request.final and not request.out:
-            self.requests.pop(number, None)
+            self._final(request)
+        if request.final and not request.out:
+            self.closed.append(number)
         self.post(AttemptEnded(
             number, attempt.number, attempt.server, result, self.clock.now() - attempt.sent, request.final,
             answer.usage if answer else None, None, answer.load if answer else None))
@@ -266,13 +273,19 @@
             delay = min(action.retry_after, self.settings.longest_advice) if self.settings.may_advise else 0
             status = 503 if request.attempts else 429
             request.client.reply(status, b"refused: try again\n", retry_after(delay))
-            self._final(action.request, request)
+            self._decided(action.request, request)
 
     def _fail(self, action: Fail) -> None:
         request = self.requests.get(action.request)
         if request is not None and not request.final:
             request.client.reply(502, b"failed\n")
-            self._final(action.request, request)
+            self._decided(action.request, request)
+
+    def _decided(self, number: int, request: Open) -> None:
+        """Its end is the module's own doing."""
+        self._final(request)
+        if not request.out:
+            self.requests.pop(number, None)
 
     def _count(self, action: Count) -> None:
         if self.counter is None:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -1,12 +1,15 @@
 """Malformed input of clients ends with a plain 4xx at the front door."""
 
 import asyncio
+import logging
+import re
+from pathlib import Path
 
 import pytest
 import uvloop
 
 from cresspulley.interface import Arrival, Refuse
-from irisdeal.clients import SLOW_REQUEST
+from irisdeal.clients import SLOW_REQUEST, Change, Client, ClientRequest, State
 from tests.peers import Script, answer, ask, read_message, running, socket_test
 
 GET = b"GET /api HTTP/1.1\r\nHost: svc\r\n"
@@ -149,3 +152,70 @@
         side.now = lambda: stood + SLOW_REQUEST + 0.1
         side._sweep()
         assert (await read_message(reader))[0].split()[1] == "408"
+
+
+# The table of docs/design.md: the state after each change; a dot is a change that the state never meets.
+DESIGN = (Path(__file__).parent.parent / "docs" / "design.md").read_text()
+STATES = re.search(r"^\| \| (NEW .*) \|$", DESIGN, re.M)
+ROWS = {name: row.split(" | ") for name, row in re.findall(r"^\| .* \((\w+)\) \| (.*) \|$", DESIGN, re.M)}
+
+
+@socket_test
+async def test_a_connection_meets_only_what_its_table_names() -> None:
+    assert STATES is not None and STATES[1].split(" | ") == [state.name for state in State]
+    assert list(ROWS) == [change.name for change in Change]
+    faults: list[str] = []
+    handler = logging.Handler()
+    handler.emit = lambda record: faults.append(record.getMessage())  # type: ignore[method-assign]
+    logging.getLogger("irisdeal.clients").addHandler(handler)
+    async with running(Script(lambda event: [])) as door:
+        side = door.program.clients
+        for change, row in zip(Change, ROWS.values(), strict=True):
+            for state, told in zip(State, row, strict=True):
+                client, after = Client(side), State[told] if told != "." else state
+                client.state, side.connections[client] = state, None
+                client.waiting.append(ClientRequest(client))
+                assert client._change(change) is (after is not state)
+                assert client.state is after
+                wrong = [f"a client's connection that is {state.name} met {change.name}"] * (told == ".")
+                assert faults == wrong  # never in silence
+                faults.clear()
+                ends = after is not state and after in (State.ENDING, State.GONE)
+                assert bool(client.waiting) is not ends
+                assert (client in side.connections) is not (ends and after is State.GONE)
+                side.connections.pop(client, None)
+    logging.getLogger("irisdeal.clients").removeHandler(handler)
+
+
+@socket_test
+async def test_a_client_that_reads_its_last_answer_is_not_closed_once_more_at_the_end() -> None:
+    # A close with bytes unread resets the connection.
+    async with running(Script(lambda event: [])) as door:
+        side = door.program.clients
+        reader, writer = await door.client()
+        writer.write(ask("file", Content_Length="4000000") + b"x" * 4_000_000)
+        while not any(client.state is State.ENDING for client in side.connections):
+            await asyncio.sleep(0)
+        side.retire_silent()
+        [client] = side.connections
+        assert client.transport is not None and not client.transport.is_closing()
+        assert (await read_message(reader))[0].split()[1] == "413"
+        assert await reader.read() == b""
+
+
+@socket_test
+async def test_what_comes_behind_the_last_request_ends_none_ahead_of_it() -> None:
+    script = Script(lambda event: [])
+    async with running(script) as door:
+        side = door.program.clients
+        reader, writer = await door.client()
+        writer.write(ask(trace="a") + ask(trace="b") + ask(trace="c")[:-4])
+        await script.wait_for(Arrival, 2)
+        side.draining = True
+        door.program.door._apply(Refuse(2))  # the newest that is whole: nothing is read behind it
+        late = side.now() + SLOW_REQUEST + 0.1
+        side.now = lambda: late
+        side.sweep()
+        door.program.door._apply(Refuse(1))
+        assert [(await read_message(reader))[0].split()[1] for _ in range(2)] == ["429", "429"]
+        assert await reader.read() == b""
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -5,6 +5,7 @@
 
 from cresspulley.interface import Arrival, Refuse, Send
 from irisdeal.__main__ import time_to_answer
+from irisdeal.clients import State
 from tests.peers import (
     Peer, Running, Script, answer, ask, config, member, read_message, running, send_all, settings,
     socket_test, whole_list)
@@ -130,7 +131,8 @@
         door.program.door._apply(Refuse(1))
         for _ in range(2):
             assert (await read_message(reader))[0].split()[1] == "429"
-        assert all(client.ends_at for client in door.program.clients.connections)  # at once, not once idle
+        side = door.program.clients
+        assert all(client.state is State.ENDING for client in side.connections)  # at once, not once idle
         assert await reader.read() == b""
 
 
@@ -151,7 +153,7 @@
             client.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
             door.program.clients.draining = True
             writer.write(answer(200, body))
-            while not client.ends_at:
+            while client.state is not State.ENDING:
                 await asyncio.sleep(0)
             assert door.program.clients.owes()  # the answer is worded, but the most of it is still here
             got = b""
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -3,13 +3,15 @@
 import asyncio
 import socket
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from typing import cast
 
 import pytest
 
 from cresspulley.control import Gateway
 from cresspulley.interface import Action, Arrival, AttemptEnded, Event, Fail, RequestEnded, Result, Send
-from irisdeal.clients import MOST_PIPELINED
+from irisdeal.backends import Attempt
+from irisdeal.clients import MOST_PIPELINED, Client
 from tests.peers import (
     LIMIT, LateConnections, Peer, Running, Script, answer, as_json, ask, member, read_message, running,
     send_all, settings, socket_test, whole_list)
@@ -186,6 +188,213 @@
         await nothing_open(door)
 
 
+# No attempt begins once the socket tells that the client has left: the sweep does not run, and the loop says
+# nothing of a connection that it does not read.
+
+
+def unswept(door: Running) -> list[Attempt]:
+    """The front door without its sweep; the attempts that it begins or connects for from now on."""
+    door.program.clients.sweep = lambda: None  # type: ignore[method-assign]
+    begun: list[Attempt] = []
+    send = door.program.pool.send
+
+    def noted(attempt: Attempt) -> None:
+        begun.append(attempt)
+        send(attempt)
+
+    door.program.pool.send = noted  # type: ignore[method-assign]
+    return begun
+
+
+async def pipelined(door: Running) -> asyncio.StreamWriter:
+    """A client with so much open that its connection is read no further."""
+    _, to_door = await door.client()
+    to_door.write(b"".join(ask(trace=f"t{n}") for n in range(MOST_PIPELINED)))
+    while len(door.program.door.requests) < MOST_PIPELINED:
+        await asyncio.sleep(0)
+    return to_door
+
+
+async def has_left(door: Running) -> None:
+    [client] = door.program.clients.connections
+    assert client.transport is not None and not client.transport.is_reading()
+    while not client.has_left():
+        await asyncio.sleep(0)
+
+
+@each_way
+async def test_no_first_attempt_begins_after_the_leaving(leave: Leave) -> None:
+    script = Script(lambda event: [])
+    async with Peer() as backend, running(script, known=whole_list(member("s-1", backend.port))) as door:
+        begun = unswept(door)
+        leave(await pipelined(door))
+        await has_left(door)
+        door.program.door._apply(Send(1, b"s-1"))  # the others of the connection end with it
+        assert not begun
+        await script.wait_for(RequestEnded, MOST_PIPELINED)
+        await nothing_open(door)
+
+
+@each_way
+async def test_no_held_request_gets_a_slot_after_the_leaving(leave: Leave) -> None:
+    async with Peer() as backend, running(
+            settings=settings(packages=CAPPED), known=whole_list(member("s-1", backend.port))) as door:
+        begun = unswept(door)
+        to_door = await pipelined(door)
+        reader, writer = await backend.connection()
+        await read_message(reader)
+        leave(to_door)
+        await has_left(door)
+        writer.write(answer())
+        while door.program.door.requests and len(begun) < 2:
+            await asyncio.sleep(0)
+        assert [attempt.request for attempt in begun] == [1]
+        gateway = cast(Gateway, door.program.door.decider)
+        while gateway.requests or gateway.out:
+            await asyncio.sleep(0)
+
+
+@each_way
+async def test_no_further_attempt_begins_after_the_leaving(leave: Leave) -> None:
+    def again(event: Event) -> list[Action]:
+        if isinstance(event, AttemptEnded) and not event.ended:
+            return [Send(event.request, b"s-1")]
+        return send_all(event)
+
+    script = Script(again)
+    async with Peer() as backend, running(script, known=whole_list(member("s-1", backend.port))) as door:
+        begun = unswept(door)
+        to_door = await pipelined(door)
+        streams = [await backend.connection() for _ in range(MOST_PIPELINED)]
+        for reader, _ in streams:
+            await read_message(reader)
+        leave(to_door)
+        await has_left(door)
+        for _, writer in streams:
+            writer.write(answer(503, extra="X-Never-Ran: 1\r\n"))
+        while door.program.door.requests and len(begun) == MOST_PIPELINED:
+            await asyncio.sleep(0)
+        assert [attempt.number for attempt in begun] == [0] * MOST_PIPELINED
+        await script.wait_for(RequestEnded, MOST_PIPELINED)
+
+
+@each_way
+async def test_nothing_is_written_on_a_connection_that_comes_up_after_the_leaving(leave: Leave) -> None:
+    script = Script(send_all)
+    async with Peer() as backend, running(script, known=whole_list(member("s-1", backend.port))) as door:
+        unswept(door)
+        late = LateConnections(door, backend.port)
+        to_door = await pipelined(door)
+        await late.asked.wait()
+        leave(to_door)
+        await has_left(door)
+        late.go_on.set()
+        reader, _ = await backend.connection()
+        assert await began(reader) == b""
+        ends = await script.wait_for(AttemptEnded, MOST_PIPELINED)
+        assert {(e.result, e.ended) for e in ends} == {(Result.NOT_SENT, True)}
+        await script.wait_for(RequestEnded, MOST_PIPELINED)
+        await nothing_open(door)
+        while not backend.accepted.empty():
+            assert await began((await backend.connection())[0]) == b""
+
+
+async def began(reader: asyncio.StreamReader) -> bytes:
+    """The first byte of a request, if one is written."""
+    with suppress(ConnectionError):
+        return await reader.read(1)
+    return b""
+
+
+async def slow_reader(
+        door: Running, requests: int) -> tuple[asyncio.StreamReader, asyncio.StreamWriter, Client]:
+    """A client that reads no answers for now, over buffers of the kernel that hold far less than one."""
+    made = socket.socket()
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    made.connect(("127.0.0.1", door.program.clients.port()))
+    made.setblocking(False)
+    reader, to_door = await asyncio.open_connection(sock=made)
+    cast(asyncio.Transport, to_door.transport).pause_reading()
+    to_door.write(b"".join(ask(trace=f"t{n}") for n in range(requests)))
+    while len(door.program.door.requests) < requests:
+        await asyncio.sleep(0)
+    [client] = door.program.clients.connections
+    assert client.transport is not None
+    client.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    return reader, to_door, client
+
+
+def all_but(held: int) -> Script:
+    def reply(event: Event) -> list[Action]:
+        return [] if isinstance(event, Arrival) and event.request == held else send_all(event)
+
+    return Script(reply)
+
+
+@each_way
+async def test_no_attempt_begins_after_one_that_reads_no_answers_has_left(leave: Leave) -> None:
+    script = all_but(4)
+    async with Peer() as backend, running(script, known=whole_list(member("s-1", backend.port))) as door:
+        _, to_door, client = await slow_reader(door, 4)
+        for _ in range(3):
+            reader, writer = await backend.connection()
+            await read_message(reader)
+            writer.write(answer(200, b"y" * 60_000))
+        while not client.full or len(client.waiting) > 1:
+            await asyncio.sleep(0)
+        begun = unswept(door)
+        leave(to_door)
+        await has_left(door)
+        door.program.door._apply(Send(4, b"s-1"))
+        assert not begun
+        await script.wait_for(RequestEnded)
+
+
+@socket_test
+async def test_no_attempt_begins_after_a_half_close_while_an_answer_is_still_being_written() -> None:
+    script = all_but(2)
+    async with Peer() as backend, running(script, known=whole_list(member("s-1", backend.port))) as door:
+        client, to_door, held = await slow_reader(door, 2)
+        reader, writer = await backend.connection()
+        await read_message(reader)
+        writer.write(answer(200, b"y" * 60_000))  # little enough for the connection to be read on
+        while len(held.waiting) > 1:
+            await asyncio.sleep(0)
+        begun = unswept(door)
+        half_close(to_door)
+        await script.wait_for(RequestEnded)  # while the transport still holds the answer
+        assert held.transport is not None and held.transport.get_write_buffer_size() > 0
+        door.program.door._apply(Send(2, b"s-1"))
+        assert not begun
+        cast(asyncio.Transport, to_door.transport).resume_reading()
+        assert (await read_message(client))[2] == b"y" * 60_000  # what was answered before is not taken back
+
+
+@pytest.mark.parametrize(
+    "leave", [socket.socket.close, lambda made: made.shutdown(socket.SHUT_WR)], ids=["close", "half_close"])
+def test_no_attempt_begins_for_a_request_that_comes_together_with_the_leaving(
+        leave: Callable[[socket.socket], None]) -> None:
+    @socket_test
+    async def run() -> None:
+        script = Script(send_all)
+        async with Peer() as backend, running(script, known=whole_list(member("s-1", backend.port))) as door:
+            door.program.pool.rest_time = 0.0
+            client, to_door = await door.client()
+            to_door.write(ask(trace="first"))
+            reader, writer = await backend.connection()
+            await read_message(reader)
+            writer.write(answer())
+            await read_message(client)
+            begun = unswept(door)
+            with socket.create_connection(("127.0.0.1", door.program.clients.port())) as made:
+                made.sendall(ask())
+                leave(made)  # in the same turn: the loop has read neither
+                assert [e.request for e in await script.wait_for(RequestEnded)] == [2]
+            assert not begun
+
+    run()
+
+
 @socket_test
 async def test_a_server_told_to_drain_gets_nothing_that_still_connects() -> None:
     def on_to_the_next(event: Event) -> list[Action]:
--- a/tests/test_patience.py
+++ b/tests/test_patience.py
@@ -8,7 +8,7 @@
 import pytest
 
 from cresspulley.interface import Action, Arrival, Event, Refuse, Send
-from irisdeal.clients import MOST_BEHIND, MOST_PIPELINED, ClientSide
+from irisdeal.clients import MOST_BEHIND, MOST_PIPELINED, ClientSide, State
 from irisdeal.limits import OWN, share
 from irisdeal.listener import Listener
 from tests.peers import (
@@ -100,7 +100,7 @@
         [(_, writer)] = await connected(door, 1)
         writer.write(b"noise\r\n\r\n")
         client = next(iter(door.program.clients.connections))
-        while not client.ends_at:
+        while client.state is not State.ENDING:
             await asyncio.sleep(0)
         hand.on(1.25)
         while door.program.clients.connections:
