Keep cold servers within their budget over births, flapping lists and wrong estimates

Change: the mean service time is learned over all classes (first answers weigh most) and counts in parts and turns; for one window after a birth half of the part is used, and no turn that began before; what a dropped server was sent is kept for a window; the record is kept by slots of a window; one use bars for half a round. N = multiple * warmth now * window / mean work on one core.

--- a/cresspulley/control.py
+++ b/cresspulley/control.py
@@ -15,7 +15,7 @@
 from cresspulley.interface import (
     Action, Arrival, AttemptEnded, Cancel, Count, CountAnswer, Event, Fail, FollowList, Group, ListKind,
     Plan, Refuse, Repeat, RequestEnded, Result, Send, ServerList, Settings, StreamStarted, Wake)
-from cresspulley.servers import Fleet, Server, Try
+from cresspulley.servers import FIRST_WORK_SHARE, Fleet, Server, Try
 from cresspulley.share import NEAR, SECOND, Customer, Request
 
 # Parts that the chance aims at: of rate, small cap, what is left of a burst. Requests come at random: half of
@@ -28,7 +28,6 @@
 STRAIN_MOST, STRAIN_LATE, STRAIN_LOST, STRAIN_PROMPT = 20.0, 1.3, 1.15, 0.9
 STRAIN_FADES = 10_000_000  # while few calls are made, few answers could tell that the counter is well again
 LATE_SHARE = 0.5  # of the counter's time-out: an answer that takes longer is late
-FIRST_WORK_SHARE = 1 / 6  # a class's service time before any answer, as a share of its aim: high on purpose
 STALL, NO_SERVER_PAUSE = 100_000, 20_000  # woken so late, we stood still; held requests look again after this
 LEARN, LEARN_BAD = 0.1, 0.25  # weight of a new sample: in averages; in failures, which must show fast
 PATIENCE = 4.0  # an attempt out for so many usual times counts against its server
@@ -56,7 +55,8 @@
         self.requests: dict[int, Request] = {}
         self.calls: dict[int, deque[tuple[Request, float, int]]] = {}
         self.usual = [c.aim * FIRST_WORK_SHARE for c in settings.classes]
-        self.again, self.strain, self.first_work = AGAIN_MOST, 1.0, max(self.usual)
+        self.again, self.strain = AGAIN_MOST, 1.0
+        self.work, self.work_weight = max(self.usual), 1.0  # mean service time of all; of the next sample
         self.value = sum(c.worth / c.aim for c in settings.classes) / len(self.usual) / FIRST_WORK_SHARE
         self.agenda: list[tuple[int, int, Callable[[Any], None], Any]] = []
         self.actions: list[Action] = []
@@ -71,7 +71,7 @@
         self.strain = 1.0 + (self.strain - 1.0) * math.exp((self.now - now) / STRAIN_FADES)
         self.now, self.actions = now, []
         if self.born < 0:
-            self.born = now
+            self.born = self.fleet.born = now
             self.actions += [] if self.settings.list_is_pushed else [FollowList()]
         for event in events:
             self.handlers.get(type(event), lambda _: None)(event)
@@ -108,7 +108,7 @@
         tried, best, least = [t.server for t in request.tries], None, math.inf
         for server in (s for s in ready if s not in tried):
             warmth = self.fleet.warmth(server, self.now)
-            if warmth < 1.0 and not self.fleet.fits_cold(server, warmth, self.first_work, self.now):
+            if warmth < 1.0 and not self.fleet.fits_cold(server, warmth, self.work, self.now):
                 continue
             others = server.others * max(0.0, 1.0 - (self.now - server.told_at) / SECOND)
             kept = (1.0 - FADE) ** ((self.now - server.last_sent) / SECOND)
@@ -206,7 +206,7 @@
         self.out, self.last_sent = self.out + 1, self.now
         usual = self.usual[request.kind]
         if self.fleet.warmth(server, self.now) < 1.0:
-            server.sent.append((self.now, max(usual, self.first_work)))
+            self.fleet.send_cold(server, self.work, self.now)
         self.actions.append(Send(request.id, server.entry.server))
         self._plan(self.now + int(PATIENCE * usual), self._overdue, (request, attempt))
 
@@ -261,7 +261,10 @@
             step = -min(self.window, over) if late else min(self.window, 1.0 / over)
             self.window = max(LEARN, min(max(2.0, WIDEST * self.usual_window), self.window + LEARN * step))
             self._judge(attempt, True, event.took / usual, None, customer.plan)
-            self.usual[request.kind] = usual + LEARN * (min(event.took, 5 * usual) - usual)
+            took = min(event.took, 5 * usual)
+            self.usual[request.kind] = usual + LEARN * (took - usual)
+            self.work_weight = max(LEARN, self.work_weight / (1.0 + self.work_weight))  # the first tell most
+            self.work += self.work_weight * (took - self.work)
         elif event.result not in (Result.CANCELLED, Result.NOT_SENT) and (
                 event.result is not Result.TIMED_OUT or event.took >= PATIENCE * usual):  # else little time
             self._judge(attempt, False, None, customer.plan if event.result is Result.TURNED_AWAY else None)
--- a/cresspulley/servers.py
+++ b/cresspulley/servers.py
@@ -11,7 +11,12 @@
 # Servers that a gateway uses, its subset. With more than it sends requests in a second, none is known well
 # (what is out there, how slow it is, whether it lives), and each request opens a connection of its own.
 REACH = 12
+FIRST_WORK_SHARE = 1 / 6  # a class's service time before any answer, as a share of its aim: high on purpose
 COLD_MARGIN = 0.6  # part of the budget for a cold server that is used: work sizes vary
+# Part of its own part that a gateway uses right after its birth: its forerunner may have spent all of it. If
+# all start anew in one window, 0.6 and half as much again are still within the budget.
+NEWBORN = 0.5
+SLOTS = 100  # in which a window's work is kept: its end is that much too late, and the record stays short
 
 
 class Server:
@@ -23,7 +28,21 @@
         self.bad: defaultdict[Plan | None, float] = defaultdict(float)  # failures, 0 to 1; by plan: full
         self.last_good = self.told_at = self.last_sent = 0
         self.turn = turn  # gateways that come before this one in the server's own order of them
-        self.sent: deque[tuple[int, float]] = deque(maxlen=1000)  # work sent while cold
+        self.sent: deque[tuple[int, int]] = deque()  # work sent while cold, by slots of a window: end, work
+        self.sent_sum = 0
+
+    def spent(self, since: int) -> int:
+        """Work sent after that time, in microseconds."""
+        while self.sent and self.sent[0][0] <= since:
+            self.sent_sum -= self.sent.popleft()[1]
+        return self.sent_sum
+
+    def spend(self, work: int, now: int, slot: int) -> None:
+        """Keep it until the end of its slot is past the window."""
+        end = now - now % slot + slot
+        earlier = self.sent.pop()[1] if self.sent and self.sent[-1][0] == end else 0
+        self.sent.append((end, earlier + work))
+        self.sent_sum += work
 
 
 class Try:
@@ -42,8 +61,10 @@
     """
 
     def __init__(self, settings: Settings) -> None:
-        self.settings = settings
+        self.settings, self.born = settings, 0
         self.servers: dict[bytes, Server] = {}
+        self.dropped: dict[bytes, Server] = {}  # lately used while cold, and no longer listed
+        self.first_work = max(c.aim for c in settings.classes) * FIRST_WORK_SHARE
         self.ready: list[Server] = []  # in the order in which this gateway turns to them
         self.near = self.ready  # the subset
         self.sharers = settings.gateways  # gateways that use one server
@@ -52,20 +73,30 @@
         """Take in news of the list."""
         if event.kind is not ListKind.CHANGES:  # absent from a full list: gone
             named = {entry.server for entry in event.entries}
-            self.servers = {key: server for key, server in self.servers.items() if key in named}
+            for key in [key for key in self.servers if key not in named]:
+                self._drop(key)
         for entry in event.entries:
-            server = self.servers.get(entry.server)
             if entry.state is ServerState.GONE:
-                self.servers.pop(entry.server, None)
-            elif server is None or server.entry.started != entry.started:  # a restart begins a fresh record
+                self._drop(entry.server)
+                continue
+            server = self.servers.get(entry.server) or self.dropped.pop(entry.server, None)
+            if server is None or server.entry.started != entry.started:  # a restart begins a fresh record
                 self.servers[entry.server] = Server(entry, self._turn(entry.server))
             else:
                 server.entry = entry
+                self.servers[entry.server] = server
         ready = [s for s in self.servers.values() if s.entry.state is ServerState.READY]
         self.ready = sorted(ready, key=lambda s: s.turn)
         self.near = self.ready[:REACH]
         self.sharers = min(self.settings.gateways, -(-REACH * self.settings.gateways // max(1, len(ready))))
 
+    def _drop(self, key: bytes) -> None:
+        """Forget a server, but not what it was sent while cold: a list may name it again, as it was."""
+        if (server := self.servers.pop(key, None)) and server.sent:
+            self.dropped[key] = server
+            since = max(s.last_sent for s in self.dropped.values()) - self.settings.fall_window
+            self.dropped = {key: s for key, s in self.dropped.items() if s.last_sent > since}
+
     def _turn(self, key: bytes) -> int:
         """This gateway's place in a server's order: strides that share no factor with the count visit all."""
         count = self.settings.gateways
@@ -82,16 +113,37 @@
     def fits_cold(self, server: Server, warmth: float, work: float, now: int) -> bool:
         """Our part of what a cold server may be sent, taken to have one core: even, or by turns.
 
-        Only its first users have a part: as many as count on one, whatever list each of them holds.
+        Only its first users have a part: as many as count on one, whatever list each of them holds. `work` is
+        the mean as it shows here, in microseconds.
         """
         if server.turn >= self.sharers:
             return False
-        s, rate = self.settings, COLD_MARGIN * self.settings.fall_multiple
-        budget = rate * warmth * s.fall_window / self.sharers
+        s, work = self.settings, max(work, self.first_work)
+        part = COLD_MARGIN * s.fall_multiple * warmth / self.sharers
+        newborn = server.entry.started <= self.born and now < self.born + s.fall_window
+        budget = part * s.fall_window * (NEWBORN if newborn else 1.0)
         if budget >= work:
-            return work + sum(w for at, w in server.sent if at > now - s.fall_window) <= budget
-        # All users number the turns alike; ours stays open for half a window, so turns are as much fewer.
-        turns = rate / 1.5 * (s.start_capacity + warmth) / 2 * (now - server.entry.started) / work
+            return work + server.spent(now - s.fall_window) <= budget
+        return self._in_turn(server, warmth, work, now, newborn)
+
+    def _in_turn(self, server: Server, warmth: float, work: float, now: int, newborn: bool) -> bool:
+        """Whether a turn of ours is open that we have not used, nor a forerunner before our birth.
+
+        All users number the turns alike, by a work that those with nearly the same mean agree on. A turn
+        stays open for half a window, so turns are as much fewer.
+        """
+        s, rate = self.settings, COLD_MARGIN * self.settings.fall_multiple / 1.5
+        work = self.first_work * 2.0 ** round(math.log2(work / self.first_work))
+        turns = rate * (s.start_capacity + warmth) / 2 * max(0, now - server.entry.started) / work
         behind = (int(turns) - server.turn) % self.sharers + turns % 1.0  # one request in each turn
-        ago = behind * work * 1.5 / (rate * warmth)
-        return ago <= s.fall_window / 2 and server.last_sent < now - ago
+        length = work / (rate * warmth)
+        ago = behind * length
+        if ago > s.fall_window / 2 or (newborn and now - ago < self.born):
+            return False
+        # A turn's length shrinks as the server warms and moves with the mean: its begin drifts past our use
+        # of it. So a use also bars us for half a round.
+        return server.last_sent < now - max(ago, self.sharers * length / 2)
+
+    def send_cold(self, server: Server, work: float, now: int) -> None:
+        """Take a request of that mean work, sent to a cold server, off our part."""
+        server.spend(int(max(work, self.first_work)), now, max(1, self.settings.fall_window // SLOTS))
