Keep the parts of a ceiling within one: the depth stays even, only the rate moves

Cause (share.py, `part` and `refill`): a door's part followed `mine / guess`, and `guess` scales the last total by less than this door's demand has grown since, so as a burst begins each door took a larger part at once and all parts together were more than one. The part also set how much the store may hold: a busy door held far more than its even part, while a door that starts to ask holds its own at once. Ruled out: the half part that a door gets at its first total.

Change: the part is as of the last total (never more than was asked here then), less of it moves where less than the quota is asked, and it moves the rate alone. Calls to the counter are as before, and `part` no longer needs a guess.

--- a/cresspulley/share.py
+++ b/cresspulley/share.py
@@ -12,8 +12,8 @@
 PERIOD = 8  # fading intervals that one name holds; a new name starts from what was last known
 OWN_ROOM = 1.4  # even parts that an untold customer gets
 FEW, NEAR = 3.0, 0.5  # requests too few to tell a change; of its room: from here a total is asked for sooner
-# Part of a ceiling that goes where the demand is, while the total is fresh; the rest stays in even parts,
-# which hold with no word from the others.
+# Part of a ceiling's rate that goes where the demand is, while the total is fresh; the rest, and the depth,
+# stays in even parts, which hold with no word from the others.
 MOVES = 0.7
 SECOND = 1_000_000
 
@@ -53,31 +53,35 @@
         self.told_at, self.told_index, self.looks_at, self.since = -1, -1, 0, 0
         # An even part; a start may be a restart: half of our slack, and what has flowed in since, is ours.
         self.even = ((settings.rank - event.first_gateway) % settings.gateways < self.ways) / self.ways
-        self.weight = 1.0  # of the last request
         flown = plan.ceiling_rate * (now - born) / SECOND
         self.store = self.even * min(plan.ceiling_depth, plan.ceiling_slack / 2 + flown)
 
     def part(self, now: int) -> float:
-        """This gateway's part of the ceiling: even, and moved to its part of the demand by a fresh total."""
-        total = self.guess(self.weight) / self.fading if self.told_at >= 0 and self.even else 0.0
-        if total <= 0.0:
+        """This gateway's part of the ceiling's rate: even, or by a fresh total nearer its part of the demand.
+
+        All parts together must stay within one while each gateway hears its total at another time. So the
+        part is as of the last total, and less of it moves where less than the quota is asked: what others
+        have not told yet then weighs little, also as a burst begins.
+        """
+        if self.told_at < 0 or self.total <= 0.0 or not self.even:
             return self.even
-        here = self.mine * math.exp((self.asked_at - now) / self.own_fading) / self.own_fading
+        total = self.total / self.fading
+        here = min(self.mine * math.exp((self.asked_at - now) / self.own_fading), self.mine_then)
         moves = MOVES * max(0.0, 1.0 - 2.0 / self.ways)  # half of it holds all of a quota
         moves *= math.exp((self.told_at - now) / self.fading)
-        return self.even + moves * (min(1.0, here / total) - self.even)
+        moves *= min(1.0, total * SECOND / self.plan.rate) if self.plan.rate else 1.0
+        return self.even + moves * (min(1.0, here / self.own_fading / total) - self.even)
 
     def refill(self, now: int) -> float:  # what the ceiling's part holds, and what all have left of the burst
         flown, self.store_at = now - self.store_at, now
         if self.plan.ceiling_rate:
-            part = self.part(now)
-            filled = self.store + self.plan.ceiling_rate * part * flown / SECOND
-            self.store = min(self.plan.ceiling_depth * part, filled)
+            filled = self.store + self.plan.ceiling_rate * self.part(now) * flown / SECOND
+            self.store = min(self.plan.ceiling_depth * self.even, filled)  # never over the ceiling's in all
         self.left = min(self.plan.burst, self.left + self.plan.rate * flown / SECOND)
         return self.store
 
     def is_full(self, now: int) -> bool:
-        return self.refill(now) >= self.plan.ceiling_depth * self.part(now)
+        return self.refill(now) >= self.plan.ceiling_depth * self.even
 
     def filled_in(self, lack: float, now: int) -> int:
         """Microseconds until the ceiling's part has filled by so many units."""
@@ -93,7 +97,6 @@
     def ask(self, weight: float, now: int) -> None:
         self.mine = self.mine * math.exp((self.asked_at - now) / self.own_fading) + weight
         self.owed += weight
-        self.weight = weight
         self.asked_at = now
 
     def split(self, here: float, total: float) -> None:  # the local bound from the demand of all gateways
