Write a keyed copy within its window or never

Change: Send.begin_within carries what is left of the window; the door ends an attempt that is not written whole by then as not connected, by a timer and, where we stood still, as its connection comes up.

--- a/cresspulley/control.py
+++ b/cresspulley/control.py
@@ -201,15 +201,24 @@
 
     def _send(self, request: Request, server: Server) -> None:
         request.customer.out += 1
+        within = self._left_to_repeat(request)
         request.tries.append(attempt := Try(server, self.now))
         server.out, server.last_sent = server.out + 1, self.now
         self.out, self.last_sent = self.out + 1, self.now
         usual = self.usual[request.kind]
         if self.fleet.warmth(server, self.now) < 1.0:
             self.fleet.send_cold(server, self.work, self.now)
-        self.actions.append(Send(request.id, server.entry.server))
+        self.actions.append(Send(request.id, server.entry.server, begin_within=within))
         self._plan(self.now + int(PATIENCE * usual), self._overdue, (request, attempt))
 
+    def _left_to_repeat(self, request: Request) -> int:
+        """Microseconds in which a copy must be sent, as a key holds only so long (rule 2); 0: no bound."""
+        rule = self.settings.classes[request.kind]
+        if rule.repeat is not Repeat.KEYED:
+            return 0
+        first = next((t for t in request.tries if t.may_have_run), None)
+        return max(1, first.at + rule.window - self.now) if first else 0
+
     def _another(self, request: Request) -> Server | None:
         """Where a further attempt may go: rule 2, and the limits that keep retries few."""
         rule = self.settings.classes[request.kind]
--- a/cresspulley/interface.py
+++ b/cresspulley/interface.py
@@ -262,11 +262,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Start an attempt; `timeout` 0 lets it run until the client gives up."""
+    """Start an attempt; `timeout` 0 lets it run until the client gives up.
+
+    `begin_within` bounds, in microseconds, how late its last byte may be written, as a connection may come up
+    late: an attempt that is not written by then never is, and ends as not connected. 0 sets no bound.
+    """
 
     request: int
     server: bytes
     timeout: int = 0
+    begin_within: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/irisdeal/backends.py
+++ b/irisdeal/backends.py
@@ -92,8 +92,8 @@
 class Attempt:
     """One attempt of a request, out until `finish`."""
 
-    __slots__ = ("address", "connection", "done", "number", "on_begin", "on_end", "payload", "request",
-                 "sent", "server", "timer")
+    __slots__ = ("address", "connection", "done", "latest", "number", "on_begin", "on_end", "payload",
+                 "request", "sent", "server", "timer")
 
     def __init__(
         self, request: Any, number: int, server: bytes, sent: int,
@@ -105,6 +105,7 @@
         self.payload = b""
         self.connection: Backend | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self.latest: asyncio.TimerHandle | None = None  # where it must be written by some time
         self.done = False
 
     def finish(self, result: Result, answer: Answer | None = None) -> None:
@@ -114,6 +115,8 @@
         self.done = True
         if self.timer is not None:
             self.timer.cancel()
+        if self.latest is not None:
+            self.latest.cancel()
         connection, self.connection, self.payload = self.connection, None, b""
         if connection is not None:
             connection.leave()
@@ -123,6 +126,11 @@
         """Whether it may have run: what was never written whole cannot have, however long it took."""
         return self.connection is not None and self.connection.wire is WRITTEN
 
+    def begins_too_late(self) -> None:
+        """The time is over by which it was to be written whole."""
+        if not self.is_written():
+            self.finish(Result.NOT_CONNECTED)
+
     def cancel(self) -> None:
         self.finish(Result.CANCELLED if self.is_written() else Result.NOT_SENT)
 
--- a/irisdeal/door.py
+++ b/irisdeal/door.py
@@ -6,6 +6,7 @@
 import logging
 import time
 from collections.abc import Callable, Iterator
+from functools import partial
 from typing import Any
 
 from cresspulley.interface import (
@@ -247,8 +248,18 @@
         attempt.payload = b"".join((
             client.head, length, b"X-Expires-In: %dm\r\n\r\n" % max(1, left // 1000), client.body))
         attempt.timer = self._after(left, attempt.time_out)
+        if action.begin_within:
+            attempt.on_begin = partial(self._begin, attempt, client, now + action.begin_within)
+            attempt.latest = self._after(action.begin_within, attempt.begins_too_late)
         self.pool.send(attempt)
 
+    def _begin(self, attempt: Attempt, client: ClientRequest, latest: int) -> None:
+        """Its connection has come up. If we stood still, the timer may still be due."""
+        if self.clock.now() > latest:
+            attempt.begins_too_late()
+        else:
+            client.where.look()
+
     def _ended(self, attempt: Attempt, result: Result, answer: Answer | None) -> None:
         """An attempt's one end. The first good answer goes to the client and is final."""
         number = attempt.request
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -444,3 +444,58 @@
         assert (await read_message(client))[0].split()[1] == "200"
         told.set()
         assert [e.result for e in await script.wait_for(AttemptEnded)] == [Result.OK]
+
+
+@pytest.mark.parametrize("is_timed", [True, False])  # else we stood still, and the timer is not due yet
+def test_a_copy_whose_time_is_over_is_never_written(is_timed: bool) -> None:
+    # A key holds for so long from the first attempt; this connection takes longer.
+    def copy(event: Event) -> list[Action]:
+        return [Send(event.request, b"s-1", begin_within=30_000)] if isinstance(event, Arrival) else []
+
+    async def run() -> None:
+        script = Script(copy)
+        patient = [{**rule, "deadline_us": 60_000_000} for rule in settings()["profiles"]]
+        async with Peer() as backend, running(script, known=whole_list(member("s-1", backend.port)),
+                                              settings=settings(profiles=patient)) as door:
+            door.program.pool.connect_timeout = LIMIT
+            late, clock = LateConnections(door, backend.port), door.program.door.clock
+            _, to_door = await door.client()
+            to_door.write(ask("file", X_Expires_In="60000m"))
+            await late.asked.wait()
+            if is_timed:
+                [ended] = await script.wait_for(AttemptEnded)
+                assert not ended.ended
+            else:
+                [request] = door.program.door.requests.values()
+                assert request.attempts[0].latest is not None
+                request.attempts[0].latest.cancel()
+                clock.offset += 10**9
+            late.go_on.set()
+            assert [e.result for e in await script.wait_for(AttemptEnded)] == [Result.NOT_CONNECTED]
+            door.program.door._apply(Fail(1))
+            await nothing_open(door)
+            assert backend.accepted.empty() or not await (await backend.connection())[0].read()
+
+    socket_test(run)()
+
+
+@socket_test
+async def test_a_copy_written_in_time_has_all_its_time() -> None:
+    def copy(event: Event) -> list[Action]:
+        return [Send(event.request, b"s-1", begin_within=1)] if isinstance(event, Arrival) else []
+
+    script = Script(send_all)
+    async with Peer() as backend, running(script, known=whole_list(member("s-1", backend.port))) as door:
+        door.program.pool.rest_time = 0.0
+        client, to_door = await door.client()
+        to_door.write(ask("file"))
+        reader, writer = await backend.connection()
+        await read_message(reader)
+        writer.write(answer())
+        await read_message(client)
+        script.reply = copy
+        to_door.write(ask("file", trace="again"))  # at once on the connection that rests
+        await read_message(reader)
+        door.program.door.requests[2].attempts[0].begins_too_late()  # as its timer comes
+        writer.write(answer())
+        assert (await read_message(client))[0].split()[1] == "200"
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -63,6 +63,18 @@
         assert not any(isinstance(a, Refuse) for _, a in desk.log)
 
 
+def test_a_keyed_copy_is_written_within_the_window_or_never() -> None:
+    """Broken: a copy decided in time went out when its connection came up, after the window."""
+    window = Desk().settings.classes[KEYED].window
+    for kind, result, within in ((KEYED, Result.ERROR, window - 300 * MS), (SAFE, Result.ERROR, 0),
+                                 (KEYED, Result.TURNED_AWAY, 0)):
+        desk = Desk()
+        number, actions = desk.ask(kind=kind)
+        desk.now += 300 * MS
+        [again] = of(Send, desk.end(number, of(Send, actions)[0].server, result))
+        assert again.begin_within == within
+
+
 def test_keyed_that_never_ran_may_change_the_group() -> None:
     desk = Desk(servers=0)
     desk.give(ServerList(ListKind.COMPLETE, 2, (entry(1, zone=1), entry(2, zone=2))))
