Know of a large set's burst by what all ask, and over a shorter interval

Cause: share.py, refill and take, and control.py, _admit. What is left of a burst is known from what a gateway sends itself. Of 200 gateways each has a request of a customer in seconds or minutes; by then its own record is full again, or forgotten, so all of them pass half a burst over and over. And the interval was 50 counter time-outs where the burst lasts less (4 s at 80 ms), so a spike was told late; in a large set so long an interval spares few calls. Change: in sets over 25 (TELLERS) the burst left is also less than what all ask past the rate, and the interval may be as short as 10 time-outs. Smaller sets decide as before.

--- a/cresspulley/control.py
+++ b/cresspulley/control.py
@@ -16,12 +16,11 @@
     Action, Arrival, AttemptEnded, Cancel, Count, CountAnswer, Event, Fail, FollowList, Group, ListKind,
     Plan, Refuse, Repeat, RequestEnded, Result, Send, ServerList, Settings, StreamStarted, Wake)
 from cresspulley.servers import FIRST_WORK_SHARE, Fleet, Server, Try
-from cresspulley.share import NEAR, SECOND, Customer, Request
+from cresspulley.share import NEAR, SECOND, TELLERS, Customer, Request
 
 # Parts that the chance aims at: of rate, small cap, what is left of a burst. Requests come at random: half of
 # a cap of two in use on average is all of it a quarter of the time, and a try beyond costs most of its worth.
 ROOM, FILL, LEFT = 0.90, 0.5, 0.5
-TELLERS = 25  # gateways that tell in one interval
 KNOWN_FOR, FORGOTTEN = 20_000_000, 4  # a total so old says little; customers forgotten at most for an arrival
 # Further calls are spared after one that was late or turned away, as all gateways together ask too much, and
 # less so after one that was lost; one in time allows more. Level with three in ten late or two in five lost.
@@ -168,7 +167,7 @@
         weight, room = self._weigh(request)
         total = customer.guess(weight) if room else 0.0
         customer.refill(self.now)
-        room = max(0.0, room + LEFT * customer.left) if plan.rate else room
+        room = max(0.0, room + LEFT * customer.burst_left(total)) if plan.rate else room
         if total > 0 and plan.open_limit and customer.told_at >= 0:
             slots = self.usual[request.kind] / weight  # by Little's law, and as a mean
             customer.split(slots * customer.mine / customer.own_fading, slots * total / customer.fading)
--- a/cresspulley/share.py
+++ b/cresspulley/share.py
@@ -8,7 +8,10 @@
 from cresspulley.servers import Try
 
 FADING_SHARE, FADING_TIMEOUTS = 0.4, 50  # fading interval: of the time a burst lasts; else counter time-outs
-FADING_SMALL = 10  # time-outs where a cap is smaller than its set: about as long as a request takes
+# Time-outs where a cap is smaller than its set: about as long as a request takes. And where a rate's set is
+# large: each gateway has few requests in an interval, so a long one spares few calls and tells late.
+FADING_SMALL = 10
+TELLERS = 25  # gateways that tell in one interval
 PERIOD = 8  # fading intervals that one name holds; a new name starts from what was last known
 OWN_ROOM = 1.4  # even parts that an untold customer gets
 FEW, NEAR = 3.0, 0.5  # requests too few to tell a change; of its room: from here a total is asked for sooner
@@ -42,7 +45,8 @@
         self.small = self.ways > plan.open_limit  # floors of one sum past the cap: the chance keeps it
         # The interval fades: the total weighs what was asked by e**-(age / fading).
         burst = FADING_SHARE * plan.burst / plan.rate * SECOND if plan.rate else 0.0
-        timeouts = FADING_SMALL if self.small and not plan.rate else FADING_TIMEOUTS
+        short = self.ways > TELLERS if plan.rate else self.small
+        timeouts = FADING_SMALL if short else FADING_TIMEOUTS
         self.fading = max(burst, timeouts * max(1, settings.counter_timeout))
         room = max(1.0, plan.burst or plan.open_limit)  # alone, few requests must tell: over a longer time
         self.own_fading = self.fading * max(1.0, self.ways / room)
@@ -80,6 +84,18 @@
         self.left = min(self.plan.burst, self.left + self.plan.rate * flown / SECOND)
         return self.store
 
+    def burst_left(self, total: float) -> float:
+        """Units of the burst that are left, by what was sent from here.
+
+        In a large set each gateway sends so little that its own record fills up again between two of its
+        requests, and all gateways would pass half a burst over and over: there, also less what all ask past
+        the rate in an interval.
+        """
+        if self.ways <= TELLERS:
+            return self.left
+        past = max(0.0, total - self.plan.rate * self.fading / SECOND)
+        return min(self.left, max(0.0, self.plan.burst - past))
+
     def is_full(self, now: int) -> bool:
         return self.refill(now) >= self.plan.ceiling_depth * self.even
 
