--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,73 +1,103 @@
-"""A second answer that comes some milliseconds late must not be served to the next request."""
+"""Requests whose bodies come in many small pieces must not bring a front door over its limit of memory."""
 
 import asyncio
-import random
-from collections.abc import Awaitable, Callable
+import json
 from pathlib import Path
 
-from standins import IS_TROUBLED, Backend, Client, CouldNotRun, Message, Platform, Record, play
+from standins import IS_TROUBLED, Client, CouldNotRun, FrontDoor, Platform, Record, play, read_message
 
 FOLDER = Path(__file__).resolve().parent
 
-LATE_S = 0.015
-SECOND_ANSWER_SHARE = 0.5
-CLIENTS = 9
-ROUNDS = 30
+MAX_BODY_BYTES = 65_536
+CLIENTS = 340  # at each front door: a third of its 1,024 descriptors
+CLIENTS_PER_S = 25.0
+LOOK_EVERY_S = 0.02
 
 
-async def case(record: Record) -> bool:
-    platform = Platform(record)
-    tasks: set[asyncio.Task[None]] = set()
-    foreign = own = second = 0
+def make_pieces() -> list[bytes]:
+    """Return a body of almost 64 KiB, a term's lessons as JSON, in the pieces that the encoder yields."""
+    lessons: list[dict[str, int]] = []
+    pieces: list[bytes] = []
+    while True:
+        lessons += [{"day": 1 + len(lessons) % 7, "slot": 900 + len(lessons) % 800, "room": 7, "fee": 45}] * 8
+        longer = [piece.encode() for piece in json.JSONEncoder().iterencode(lessons)]
+        if sum(map(len, longer)) > MAX_BODY_BYTES:
+            return pieces
+        pieces = longer
 
-    async def send_again(backend: Backend, data: bytes, trace_id: str, writer: asyncio.StreamWriter) -> None:
-        nonlocal second
-        await asyncio.sleep(LATE_S)
-        if not writer.is_closing():
-            second += 1
-            writer.write(data)
-            record(f"{backend.name} sent its answer to {trace_id} a second time")
 
-    def make_answer(backend: Backend) -> Callable[[Message, asyncio.StreamWriter], Awaitable[bool]]:
-        async def answer(request: Message, writer: asyncio.StreamWriter) -> bool:
-            result = await backend.answer_plainly(request, writer)
-            if IS_TROUBLED and random.random() < SECOND_ANSWER_SHARE:
-                body = backend.body_for(request)
-                data = f"HTTP/1.1 200 X\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
-                task = asyncio.create_task(send_again(backend, data, request.trace_id, writer))
-                tasks.add(task)
-                task.add_done_callback(tasks.discard)
-            return result
+async def case(record: Record) -> bool:
+    platform = Platform(record)
+    pieces = make_pieces()
+    body = b"".join(pieces)
+    chunks = b"".join(b"%x\r\n%s\r\n" % (len(piece), piece) for piece in pieces) + b"0\r\n\r\n"
+    record(f"a body has {len(body)} bytes, in {len(pieces) if IS_TROUBLED else 1} pieces")
+    counts = {"served": 0, "others": 0}
+    highest: dict[str, float] = {}
+    killed: list[str] = []
+    clients: list[Client] = []
+    is_over = False
 
-        return answer
+    async def watch_memory(door: FrontDoor) -> None:
+        """Kill the front door once it is over its limit, as the platform does."""
+        limit_mb = platform.limits["memory_mb"]
+        highest[door.name] = 0.0
+        while not is_over:
+            used_mb = door.memory_mb()
+            highest[door.name] = max(highest[door.name], used_mb)
+            if used_mb > limit_mb:
+                record(f"{door.name} holds {used_mb:.0f} MB, over its limit of {limit_mb} MB, and is killed")
+                killed.append(door.name)
+                await door.kill()
+                return
+            await asyncio.sleep(LOOK_EVERY_S)
 
-    async def ask_repeatedly(client: Client) -> None:
-        nonlocal foreign, own
-        for index in range(ROUNDS):
-            kind = "lesson-book" if index % 3 == 0 else "slots-read"
-            answer = await client.ask(kind)
-            if answer is not None and answer.status == 200:
-                if answer.body.decode().split()[-1] == client.trace_id:
-                    own += 1
-                else:
-                    foreign += 1
-                    record(f"FOREIGN: {client.trace_id} was served {answer.body!r}")
-            await asyncio.sleep(random.uniform(0.0095, 0.0120))
+    async def ask_once(client: Client) -> None:
+        """Send one request on a new connection, read its answer, and keep the connection."""
+        if IS_TROUBLED:
+            head = client.encode("lesson-book", 3000)
+            data = head.replace(b"Content-Length: 0", b"Transfer-Encoding: chunked") + chunks
+        else:
+            data = client.encode("lesson-book", 3000, body)
+        try:
+            reader, writer = await client.connect()
+            writer.write(data)
+            async with asyncio.timeout(4.0):
+                answer = await read_message(reader)
+        except (OSError, asyncio.IncompleteReadError) as error:
+            record(f"client {client.account:x} got no answer from {client.door.name}: {error!r}")
+            counts["others"] += 1
+            return
+        record(f"client {client.account:x} got {answer.status} from {client.door.name}")
+        counts["served" if answer.status == 200 else "others"] += 1
 
     try:
-        for backend in platform.backends:
-            backend.answer = make_answer(backend)
         await platform.start()
-        clients = [
-            Client(door, record, 0xB4D60000 + index) for door in platform.doors for index in range(CLIENTS)
-        ]
-        await asyncio.gather(*(ask_repeatedly(client) for client in clients))
+        watches = [asyncio.create_task(watch_memory(door)) for door in platform.doors]
+        requests = []
+        for index in range(CLIENTS):
+            for door in platform.doors:
+                if door.name not in killed:
+                    clients.append(Client(door, record, 0xB4D60000 + len(clients)))
+                    requests.append(asyncio.create_task(ask_once(clients[-1])))
+            await asyncio.sleep(1 / CLIENTS_PER_S)
+            if index % 25 == 0:
+                record(", ".join(f"{name}: at most {used_mb:.0f} MB" for name, used_mb in highest.items()))
+        await asyncio.gather(*requests)
+        is_over = True
+        await asyncio.gather(*watches)
     finally:
+        for client in clients:
+            client.close()
         await platform.stop()
-    record.verdict(f"{second} second answers; served: {own} with their own answer, {foreign} with another's")
-    if own + foreign < CLIENTS * ROUNDS / 2:
-        raise CouldNotRun("fewer than half of the requests were served")
-    return bool(foreign)
+    used = ", ".join(f"{name} {used_mb:.0f} MB" for name, used_mb in highest.items())
+    record.verdict(
+        f"most memory held: {used}; limit {platform.limits['memory_mb']} MB; killed:"
+        f" {', '.join(killed) or 'none'}; {len(clients)} clients with one request each: {counts}"
+    )
+    if counts["served"] < 20:
+        raise CouldNotRun("too few requests were served")
+    return bool(killed)
 
 
 if __name__ == "__main__":
