--- a/review/standins.py
+++ b/review/standins.py
@@ -214,6 +214,9 @@
         self.work_s = 0.1
         self.received: list[tuple[float, str]] = []  # time of the first byte and trace id of each attempt
         self.ran: list[tuple[float, str]] = []
+        self.on_whole: Callable[[str], None] = lambda _: (
+            None
+        )  # called with the trace id of each whole request
         self.answer: Callable[[Message, asyncio.StreamWriter], Awaitable[bool]] = self.answer_plainly
         self.server: asyncio.Server | None = None
         self.port = 0
@@ -245,6 +248,7 @@
                     f"{self.name} received {request.line.split()[0]} {request.trace_id},"
                     f" first byte at {begun_at[0]:.4f}, phase {self.phase}"
                 )
+                self.on_whole(request.trace_id)
                 if not await self.answer(request, writer):
                     break
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
@@ -406,6 +410,7 @@
         self.record = record
         self.port = int(config["listen"].rpartition(":")[2])
         self.process: asyncio.subprocess.Process | None = None
+        self.is_up = True  # whether the front sends it requests
         self.config_path = folder / f"{name}.json"
         self.log_path = folder / f"{name}.log"
 
@@ -529,6 +534,7 @@
         self.record = record
         self.account = account
         self.plan = plan
+        self.units = 1
         self.streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
         self.trace_id = ""
 
@@ -542,7 +548,7 @@
             self.streams[1].close()
             self.streams = None
 
-    def encode(self, kind: str, expires_in_ms: int, units: int = 1, body: bytes = b"") -> bytes:
+    def encode(self, kind: str, expires_in_ms: int, body: bytes = b"") -> bytes:
         """Return a request with a fresh trace id; a read is a GET, anything else a POST with `body`."""
         Client.serial += 1
         self.trace_id = f"{random.getrandbits(40):010x}{Client.serial:06x}"
@@ -555,7 +561,7 @@
             f"Plan: {self.plan}",
             f"Account: {self.account:016x}",
             f"X-Expires-In: {expires_in_ms}m",
-            f"Quota-Info: units={units},spread={self.door.config['settings']['peers_total']},first=0",
+            f"Quota-Info: units={self.units},spread={self.door.config['settings']['peers_total']},first=0",
         ]
         if not is_read:
             lines.append(f"Content-Length: {len(body)}")
