--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,7 +9,7 @@
 
 FOLDER = Path(__file__).resolve().parent
 
-BAD_CLIENTS = 10  # at once, at each of the front doors
+BAD_CLIENTS = 16  # at once, at each of the front doors
 WAVES = 4
 WAVE_EVERY_S = 6.0
 CLIENTS = 10
