Refuse endless lines of a request at the head limit, however they are cut

Cause: RequestParser.on_header checked the limit when httptools reported a complete header. httptools collects a line until its end (parser.pyx, _on_header_value), copying it for each read, and skips white space, chunk sizes and extensions without a call; feed counted nothing.

Change: MessageMeter counts the bytes passed to the parser, in parts of 16 KB at most. Bytes that the parser does not report are limited like a head, and so are all bytes of a message besides its body, with 16 for each byte of a chunked body.

--- /dev/null
+++ b/tests/proxy/test_request_limits.py
@@ -0,0 +1,94 @@
+"""Tests that a request costs memory and time in proportion to its limits, however a client cuts it."""
+
+import asyncio
+
+import pytest
+
+from tests.loopback import (
+    ScriptedDecider,
+    leave_pending,
+    make_request,
+    read_status,
+    running_server,
+    uvloop_test,
+)
+from tests.proxy.message_cuts import MAX_TAKEN_BYTES, READ_SIZES, endless, peak_bytes_of, taken_before
+from yardlane.errors import FatalRequestError
+from yardlane.proxy.client_response import Status
+from yardlane.proxy.message_meter import MAX_HEAD_BYTES
+from yardlane.proxy.request_parser import RequestParser
+
+HEAD = b"POST / HTTP/1.1\r\n"
+CHUNKED_HEAD = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+# The beginning of a request, and what is repeated after it without an end.
+ENDLESS_REQUESTS = {
+    "empty lines before a request": (b"", b"\r\n"),
+    "target": (b"GET /", b"a"),
+    "header name": (HEAD, b"a"),
+    "header value": (HEAD + b"X-Padding: ", b"a"),
+    "space before a header value": (HEAD + b"X-Padding:", b" "),
+    "space after a header value": (HEAD + b"X-Padding: a", b" "),
+    "headers": (HEAD, b"aa:\r\n"),
+    "headers of mostly spaces": (HEAD, b"a:" + b" " * 500 + b"b\r\n"),
+    "chunk size": (CHUNKED_HEAD, b"0"),
+    "chunk extension": (CHUNKED_HEAD + b"1;a=", b"a"),
+    "chunk extension behind a body": (CHUNKED_HEAD + b"8000\r\n" + b"x" * 32_768 + b"\r\n1;a=", b"a"),
+    "extensions of chunks of one byte": (CHUNKED_HEAD, b"1;" + b"a" * 1000 + b"\r\nx\r\n"),
+    "trailer name": (CHUNKED_HEAD + b"0\r\n", b"a"),
+    "trailer value": (CHUNKED_HEAD + b"0\r\nX-Padding: ", b"a"),
+    "trailer value behind a body": (CHUNKED_HEAD + b"8000\r\n" + b"x" * 32_768 + b"\r\n0\r\na: ", b"a"),
+    "trailers": (CHUNKED_HEAD + b"0\r\n", b"aa:\r\n"),
+    "trailers of mostly spaces": (CHUNKED_HEAD + b"0\r\n", b"a:" + b" " * 500 + b"b\r\n"),
+}
+
+
+class RequestSink:
+    """Receives the notifications of a parser and ignores them."""
+
+    def on_request_begin(self) -> None: ...
+
+    def on_expect_continue(self) -> None: ...
+
+    def on_request(self) -> None: ...
+
+
+@pytest.mark.parametrize("read_bytes", READ_SIZES)
+@pytest.mark.parametrize(("start", "filler"), ENDLESS_REQUESTS.values(), ids=ENDLESS_REQUESTS)
+def test_endless_part_of_a_request_is_refused_at_the_limit(
+    start: bytes, filler: bytes, read_bytes: int
+) -> None:
+    """A few clients send heads without an end, and the process is killed for its memory: the parser collected
+    a line until its end, and the limit was checked only then."""
+    parser = RequestParser(RequestSink())
+    reads = endless(start, filler, read_bytes)
+    taken_bytes = taken_before(FatalRequestError, parser.feed, reads)
+    # A trailer is limited by itself, behind a head of its own limit.
+    assert taken_bytes <= len(start) + MAX_HEAD_BYTES + MAX_TAKEN_BYTES
+
+
+@pytest.mark.parametrize(("start", "filler"), ENDLESS_REQUESTS.values(), ids=ENDLESS_REQUESTS)
+def test_endless_part_of_a_request_costs_memory_in_proportion_to_the_limit(
+    start: bytes, filler: bytes
+) -> None:
+    """Each connection may hold an unfinished request. If one could hold far more than its limits, as many as
+    there are descriptors for would bring the process over its memory."""
+    reads = list(endless(start, filler, 4096))
+
+    def run() -> None:
+        parser = RequestParser(RequestSink())
+        taken_before(FatalRequestError, parser.feed, iter(reads))
+
+    assert peak_bytes_of(run) <= len(start) + 4 * MAX_TAKEN_BYTES
+
+
+@uvloop_test
+async def test_client_with_an_endless_header_line_gets_431_at_once() -> None:
+    """A client sends a header line without an end. It must get its answer when the limit is reached, and not
+    when the request timeout expires, until which it could fill the memory."""
+    async with running_server(ScriptedDecider(leave_pending)) as server:
+        reader, writer = await server.connect_client()
+        writer.write(make_request()[:-2] + b"X-Padding: ")
+        for _ in range(8):
+            writer.write(b"a" * 16_384)
+            await asyncio.sleep(0)
+        assert await read_status(reader) == str(int(Status.REQUEST_HEADER_FIELDS_TOO_LARGE))
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -24,6 +24,7 @@
     "docs/glossary.md",
     "docs/open.md",
     "docs/measurements.md",
+    *sorted(str(path.relative_to(ROOT)) for path in ROOT.glob("docs/incidents/*.md")),
 ]
 FILE_ENDINGS = (".py", ".md", ".json", ".toml", ".txt")
 # Files of other projects, which DEVELOPERS.md names.
--- a/yardlane/errors.py
+++ b/yardlane/errors.py
@@ -21,6 +21,10 @@
     """Input does not follow the simulator's wire format."""
 
 
+class MessageTooLong(YardlaneError):
+    """An HTTP message has too many bytes besides its body: in its head, its trailer or its chunk sizes."""
+
+
 class MalformedResponse(YardlaneError):
     """An upstream sent bytes that are not an HTTP response, or a response that exceeds a limit."""
 
--- a/yardlane/proxy/request_parser.py
+++ b/yardlane/proxy/request_parser.py
@@ -13,12 +13,12 @@
 
 import httptools
 
-from yardlane.errors import ClientProtocolError, FatalRequestError
+from yardlane.errors import ClientProtocolError, FatalRequestError, MessageTooLong
 from yardlane.proxy.client_response import Status
+from yardlane.proxy.message_meter import MAX_HEAD_BYTES, MessageMeter
 
 log = logging.getLogger("yardlane.proxy.request_parser")
 
-MAX_HEAD_BYTES = 16_384  # of the request target, the header lines and the trailer lines
 MAX_BODY_BYTES = 65_536
 HEADER_LINE_EXTRA_BYTES = 4  # the colon, the space and the CRLF
 
@@ -90,6 +90,7 @@
         "_has_framing_header",
         "_http",
         "_is_in_trailer",
+        "_meter",
         "_receiver",
         "body_bytes",
         "body_parts",
@@ -105,6 +106,7 @@
     def __init__(self, receiver: RequestReceiver) -> None:
         self._receiver: RequestReceiver | None = receiver
         self._http: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
+        self._meter = MessageMeter()
         self.is_in_message = False
         self.method = b""  # as received; set when the request is complete, like `should_keep_alive`
         self.should_keep_alive = True
@@ -134,9 +136,11 @@
         if self._http is None:
             return True
         try:
-            self._http.feed_data(data)
+            self._meter.feed(self._http, data)
         except httptools.HttpParserUpgrade:
             return False
+        except MessageTooLong as error:
+            raise _head_too_long() from error
         except httptools.HttpParserError as error:
             raise _to_client_error(error) from error
         return True
@@ -150,6 +154,7 @@
 
     def on_message_begin(self) -> None:
         """Called at the first byte of a message; discards the parts of the previous one."""
+        self._meter.reset()
         self.is_in_message = True
         self.url = b""
         self.headers = {}
@@ -164,6 +169,7 @@
 
     def on_url(self, url: bytes) -> None:
         """Called with each part of the request target."""
+        self._meter.unreported_bytes = 0
         self.url += url
         self.head_bytes += len(url)
         if self.head_bytes > MAX_HEAD_BYTES:
@@ -171,6 +177,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Called with each complete header; ignores those in the trailer of a chunked body."""
+        self._meter.unreported_bytes = 0
         self.head_bytes += len(name) + len(value) + HEADER_LINE_EXTRA_BYTES
         if self.head_bytes > MAX_HEAD_BYTES:
             raise _head_too_long()
@@ -212,6 +219,8 @@
 
     def on_body(self, part: bytes) -> None:
         """Called with each part of the body; for a chunked body, without the chunk framing."""
+        self._meter.unreported_bytes = 0
+        self._meter.body_bytes += len(part)
         self.body_bytes += len(part)
         if self.body_bytes > MAX_BODY_BYTES:
             raise _body_too_long()
@@ -219,6 +228,7 @@
 
     def on_message_complete(self) -> None:
         """Called at the last byte of a message; passes the request to the receiver."""
+        self._meter.reset()
         self.is_in_message = False
         if self._http is None or self._receiver is None:
             return
