Collect a request's body and header lines in one buffer each, until it is passed on

Cause: RequestParser.on_body kept each piece as a bytes object, up to fifteen times its size, and limited the sum of the lengths only. The list was dropped at the first byte of the next request on the connection, so a resting connection kept it. on_header kept name, separator, value and line end in the same way.

Evidence: 20 connections whose requests had been answered held 28.5 MB of Python objects; a head of 16 KB in short lines took 191 to 208 KB; a body in chunks of one to three bytes 564 to 985 KB (peaks by tracemalloc).

Change: both are bytearrays, which RequestParser discards once the request has been passed on or the rest of a message is not parsed. The meter takes how much was reported as an argument, which costs one call a read instead of a store for each header and piece.

--- a/tests/proxy/message_cuts.py
+++ b/tests/proxy/message_cuts.py
@@ -4,11 +4,11 @@
 from collections.abc import Callable, Iterator
 from itertools import repeat
 
-from yardlane.proxy.message_meter import MAX_FED_BYTES, MAX_HEAD_BYTES
+from yardlane.proxy.message_meter import MAX_HEAD_BYTES, MAX_PART_BYTES
 
 # The bytes that a parser may take from an endless line before it refuses the message, besides the last read:
 # the limit, and what `MessageMeter` adds to it.
-MAX_TAKEN_BYTES = MAX_HEAD_BYTES + 2 * MAX_FED_BYTES
+MAX_TAKEN_BYTES = MAX_HEAD_BYTES + 2 * MAX_PART_BYTES
 ENDLESS_BYTES = 2_000_000  # after so many bytes, a line counts as never refused
 READ_SIZES = (7, 1000, 65_536, 250_000)  # in bytes; the event loop reads at most 256,000 at once
 
--- a/tests/proxy/test_request_limits.py
+++ b/tests/proxy/test_request_limits.py
@@ -1,6 +1,9 @@
 """Tests that a request costs memory and time in proportion to its limits, however a client cuts it."""
 
 import asyncio
+import gc
+import tracemalloc
+from itertools import pairwise
 
 import pytest
 
@@ -9,6 +12,7 @@
     leave_pending,
     make_request,
     read_status,
+    reject_all,
     running_server,
     uvloop_test,
 )
@@ -16,7 +20,7 @@
 from yardlane.errors import FatalRequestError
 from yardlane.proxy.client_response import Status
 from yardlane.proxy.message_meter import MAX_HEAD_BYTES
-from yardlane.proxy.request_parser import RequestParser
+from yardlane.proxy.request_parser import MAX_BODY_BYTES, RequestParser
 
 HEAD = b"POST / HTTP/1.1\r\n"
 CHUNKED_HEAD = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -92,3 +96,67 @@
             writer.write(b"a" * 16_384)
             await asyncio.sleep(0)
         assert await read_status(reader) == str(int(Status.REQUEST_HEADER_FIELDS_TOO_LARGE))
+
+
+def chunked(body_bytes: int, chunk_bytes: int) -> bytes:
+    """Return a chunked body of `body_bytes`, in chunks of `chunk_bytes`."""
+    chunk = b"%x\r\n%b\r\n" % (chunk_bytes, b"x" * chunk_bytes)
+    return chunk * (body_bytes // chunk_bytes) + b"0\r\n\r\n"
+
+
+def split(data: bytes, read_bytes: int) -> list[bytes]:
+    """Return `data` in reads of `read_bytes`; the last one may be shorter."""
+    bounds = [*range(0, len(data), read_bytes), len(data)]
+    return [data[start:end] for start, end in pairwise(bounds)]
+
+
+# Complete requests up to the limits, in small pieces, and the length of the body of each.
+LONGEST_REQUESTS = {
+    "chunks of one byte": (CHUNKED_HEAD + chunked(MAX_BODY_BYTES, 1), MAX_BODY_BYTES),
+    "chunks of three bytes": (CHUNKED_HEAD + chunked(MAX_BODY_BYTES, 3), MAX_BODY_BYTES),
+    "one chunk": (CHUNKED_HEAD + chunked(MAX_BODY_BYTES, MAX_BODY_BYTES), MAX_BODY_BYTES),
+    "a body without chunks": (
+        HEAD + b"Content-Length: 65536\r\n\r\n" + b"x" * MAX_BODY_BYTES,
+        MAX_BODY_BYTES,
+    ),
+    "headers without a value": (HEAD + b"aa:\r\n" * 2700 + b"\r\n", 0),
+    "headers with a value": (HEAD + b"aa:bb\r\n" * 2000 + b"\r\n", 0),
+}
+
+
+@pytest.mark.parametrize("read_bytes", [64, 1000, 65_536, 250_000])
+@pytest.mark.parametrize(("request_bytes", "body_bytes"), LONGEST_REQUESTS.values(), ids=LONGEST_REQUESTS)
+def test_request_in_small_pieces_costs_memory_in_proportion_to_its_limits(
+    request_bytes: bytes, body_bytes: int, read_bytes: int
+) -> None:
+    """Usual clients send bodies in chunks of a few bytes, and the process is killed for its memory: each part
+    of a body or a header was kept as an object of its own, which takes up to twenty times as much."""
+    reads = split(request_bytes, read_bytes)
+
+    def run() -> None:
+        parser = RequestParser(RequestSink())
+        for read in reads:
+            parser.feed(read)
+
+    assert peak_bytes_of(run) <= 2 * (body_bytes + MAX_TAKEN_BYTES)
+
+
+@uvloop_test
+async def test_answered_request_leaves_nothing_on_its_idle_connection() -> None:
+    """Clients send one request each and keep their connections. The parts of a request were kept until the
+    next one, so idle connections added up to more memory than the process may have."""
+    client_count = 20
+    async with running_server(ScriptedDecider(reject_all)) as server:
+        streams = [await server.connect_client() for _ in range(client_count)]
+        head = make_request("file", Content_Length=None, Transfer_Encoding="chunked")
+        request = head + chunked(MAX_BODY_BYTES, 2)
+        tracemalloc.start()
+        try:
+            for reader, writer in streams:
+                writer.write(request)
+                assert await read_status(reader) == "429"
+            gc.collect()
+            held_bytes, _ = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert held_bytes <= client_count * MAX_HEAD_BYTES
--- a/yardlane/proxy/message_meter.py
+++ b/yardlane/proxy/message_meter.py
@@ -10,74 +10,64 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from typing import Protocol
 
 from yardlane.errors import MessageTooLong
 
 MAX_HEAD_BYTES = 16_384  # of the target or status line, the header lines and the trailer lines
 # A longer read is passed to the parser in parts of this size, so that the limits are checked in between.
-MAX_FED_BYTES = MAX_HEAD_BYTES
+MAX_PART_BYTES = MAX_HEAD_BYTES
 # The head and the trailer, each of at most MAX_HEAD_BYTES.
 MAX_BYTES_BESIDES_CHUNKS = 2 * MAX_HEAD_BYTES
-# The size line of a chunk and the line ends may take this many bytes for each byte of the body. A chunk of a
-# single byte needs five.
-MAX_CHUNK_OVERHEAD_PER_BODY_BYTE = 16
-
-
-class MessageParser(Protocol):
-    """The part of the interface of httptools' parsers that a meter uses."""
-
-    def feed_data(self, data: bytes | memoryview) -> None:
-        """Parse further bytes."""
+# For each byte of the body, with the size line and the line ends of its chunk. A chunk of one byte needs six.
+MAX_BYTES_PER_BODY_BYTE = 16
 
 
 class MessageMeter:
-    """Counts the bytes of one message at a time, and passes them to the parser while they are within limits.
+    """Counts the bytes of one message at a time that are passed to a parser.
 
-    The owner of the parser calls `reset` in the callbacks that begin and end a message, sets
-    `unreported_bytes` to 0 in the others, and adds the parts of the body to `body_bytes`. The bytes of a part
-    in which a callback sets a count to 0 are not counted, because the parser does not say where in the part
-    it was called. A message may therefore exceed each limit by twice `MAX_FED_BYTES`.
+    The owner of the parser passes it the parts that `parts_of` returns, calls `count` after each of them, and
+    sets `has_boundary` when a message begins or ends. A part with such a boundary counts for neither message,
+    and a part in which the parser reported something counts as reported, because the parser does not say
+    where in the part that was. A message may therefore exceed each limit by twice `MAX_PART_BYTES`.
     """
 
-    __slots__ = ("body_bytes", "message_bytes", "unreported_bytes")
+    __slots__ = ("_message_bytes", "_reported_bytes", "_unreported_bytes", "has_boundary")
 
     def __init__(self) -> None:
-        self.message_bytes = 0  # all bytes since the last boundary between messages
-        self.unreported_bytes = 0  # since the parser last reported something; it may be collecting them
-        self.body_bytes = 0
+        self.has_boundary = False  # a message has begun or ended since the last call of `count`
+        self._message_bytes = 0  # all bytes since the last boundary; those between messages are limited too
+        self._reported_bytes = 0
+        self._unreported_bytes = 0  # since the parser last reported something; it may be collecting them
 
-    def reset(self) -> None:
-        """Count anew, at the beginning and at the end of a message.
+    def count(self, part_bytes: int, head_bytes: int, body_bytes: int) -> None:
+        """Count a part of `part_bytes`, after the parser has parsed it.
 
-        Bytes between two messages, such as empty lines, are limited like a message without a body.
+        `head_bytes` and `body_bytes` are the bytes that the parser has reported of the current message, in
+        complete lines and in the body. Raises `MessageTooLong` if the message exceeds a limit.
         """
-        self.message_bytes = 0
-        self.unreported_bytes = 0
-        self.body_bytes = 0
-
-    def feed(self, parser: MessageParser, data: bytes) -> None:
-        """Pass `data` to the parser, and check the limits after each part of it.
-
-        Raises `MessageTooLong` if a limit is exceeded, and what `parser.feed_data` raises.
-        """
-        for part in _parts(data):
-            self.message_bytes += len(part)
-            self.unreported_bytes += len(part)
-            parser.feed_data(part)
-            self._check_limits()
-
-    def _check_limits(self) -> None:
-        if self.unreported_bytes > MAX_HEAD_BYTES:
-            raise MessageTooLong(f"line over {MAX_HEAD_BYTES} bytes")
-        max_overhead_bytes = MAX_BYTES_BESIDES_CHUNKS + MAX_CHUNK_OVERHEAD_PER_BODY_BYTE * self.body_bytes
-        if self.message_bytes - self.body_bytes > max_overhead_bytes:
-            raise MessageTooLong(f"over {max_overhead_bytes} bytes besides a body of {self.body_bytes} bytes")
-
-
-def _parts(data: bytes) -> Iterable[bytes | memoryview]:
-    """Return `data` in parts of at most `MAX_FED_BYTES`, without copying it."""
-    if len(data) <= MAX_FED_BYTES:
+        reported_bytes = head_bytes + body_bytes
+        if self.has_boundary:
+            self.has_boundary = False
+            self._message_bytes = 0
+            self._unreported_bytes = 0
+            self._reported_bytes = reported_bytes
+            return
+        if reported_bytes != self._reported_bytes:
+            self._reported_bytes = reported_bytes
+            self._unreported_bytes = 0
+        else:
+            self._unreported_bytes += part_bytes
+            if self._unreported_bytes > MAX_HEAD_BYTES:
+                raise MessageTooLong(f"line over {MAX_HEAD_BYTES} bytes")
+        self._message_bytes += part_bytes
+        max_message_bytes = MAX_BYTES_BESIDES_CHUNKS + MAX_BYTES_PER_BODY_BYTE * body_bytes
+        if self._message_bytes > max_message_bytes:
+            raise MessageTooLong(f"over {max_message_bytes} bytes for a body of {body_bytes} bytes")
+
+
+def parts_of(data: bytes) -> Iterable[bytes | memoryview]:
+    """Return `data` in parts of at most `MAX_PART_BYTES`, without copying it."""
+    if len(data) <= MAX_PART_BYTES:
         return (data,)
     view = memoryview(data)
-    return [view[start : start + MAX_FED_BYTES] for start in range(0, len(data), MAX_FED_BYTES)]
+    return [view[start : start + MAX_PART_BYTES] for start in range(0, len(data), MAX_PART_BYTES)]
--- a/yardlane/proxy/request_parser.py
+++ b/yardlane/proxy/request_parser.py
@@ -15,7 +15,7 @@
 
 from yardlane.errors import ClientProtocolError, FatalRequestError, MessageTooLong
 from yardlane.proxy.client_response import Status
-from yardlane.proxy.message_meter import MAX_HEAD_BYTES, MessageMeter
+from yardlane.proxy.message_meter import MAX_HEAD_BYTES, MessageMeter, parts_of
 
 log = logging.getLogger("yardlane.proxy.request_parser")
 
@@ -79,7 +79,7 @@
     def on_request(self) -> None:
         """Called when a complete request has been parsed.
 
-        The parser keeps the parts of the request until the next request begins.
+        The parser keeps the parts of the request only during this call.
         """
 
 
@@ -92,10 +92,9 @@
         "_is_in_trailer",
         "_meter",
         "_receiver",
-        "body_bytes",
-        "body_parts",
+        "body",
         "head_bytes",
-        "header_parts",
+        "header_lines",
         "headers",
         "is_in_message",
         "method",
@@ -112,9 +111,10 @@
         self.should_keep_alive = True
         self.url = b""
         self.headers: dict[bytes, bytes] = {}  # the headers that the proxy reads, by lower-case name
-        self.header_parts: list[bytes] = []  # name, separator, value and CRLF of each forwarded header
-        self.body_parts: list[bytes] = []
-        self.body_bytes = 0
+        # These two are single buffers, because each part of a message would take a hundred bytes as an object
+        # of its own, and a client may send parts of one byte.
+        self.header_lines = bytearray()  # of the forwarded headers, each with its CRLF
+        self.body = bytearray()
         self.head_bytes = 0
         self._has_framing_header = False
         self._is_in_trailer = False
@@ -125,18 +125,22 @@
         self._receiver = None
 
     def abandon_message(self) -> None:
-        """Mark the current message as ended, because the rest of it will not be parsed."""
+        """Mark the current message as ended and discard it, because the rest of it will not be parsed."""
         self.is_in_message = False
+        self._discard_message()
 
     def feed(self, data: bytes) -> bool:
         """Parse `data`; return False if the client asked to change to another protocol.
 
         Raises `FatalRequestError` if the data is malformed or exceeds a limit.
         """
-        if self._http is None:
+        http = self._http
+        if http is None:
             return True
         try:
-            self._meter.feed(self._http, data)
+            for part in parts_of(data):
+                http.feed_data(part)
+                self._meter.count(len(part), self.head_bytes, len(self.body))
         except httptools.HttpParserUpgrade:
             return False
         except MessageTooLong as error:
@@ -153,23 +157,14 @@
     # Called by httptools
 
     def on_message_begin(self) -> None:
-        """Called at the first byte of a message; discards the parts of the previous one."""
-        self._meter.reset()
+        """Called at the first byte of a message."""
+        self._meter.has_boundary = True
         self.is_in_message = True
-        self.url = b""
-        self.headers = {}
-        self.header_parts = []
-        self.body_parts = []
-        self.body_bytes = 0
-        self.head_bytes = 0
-        self._has_framing_header = False
-        self._is_in_trailer = False
         if self._receiver is not None:
             self._receiver.on_request_begin()
 
     def on_url(self, url: bytes) -> None:
         """Called with each part of the request target."""
-        self._meter.unreported_bytes = 0
         self.url += url
         self.head_bytes += len(url)
         if self.head_bytes > MAX_HEAD_BYTES:
@@ -177,7 +172,6 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Called with each complete header; ignores those in the trailer of a chunked body."""
-        self._meter.unreported_bytes = 0
         self.head_bytes += len(name) + len(value) + HEADER_LINE_EXTRA_BYTES
         if self.head_bytes > MAX_HEAD_BYTES:
             raise _head_too_long()
@@ -193,7 +187,11 @@
         elif key == EXPECT:
             self.headers[key] = value
         if key not in NON_FORWARDED_HEADERS:
-            self.header_parts += (name, b": ", value, b"\r\n")
+            header_lines = self.header_lines
+            header_lines += name
+            header_lines += b": "
+            header_lines += value
+            header_lines += b"\r\n"
 
     def _check_framing(self, key: bytes, value: bytes) -> None:
         """Raise `FatalRequestError` if the framing headers are ambiguous or the body is too long.
@@ -219,22 +217,30 @@
 
     def on_body(self, part: bytes) -> None:
         """Called with each part of the body; for a chunked body, without the chunk framing."""
-        self._meter.unreported_bytes = 0
-        self._meter.body_bytes += len(part)
-        self.body_bytes += len(part)
-        if self.body_bytes > MAX_BODY_BYTES:
+        self.body += part
+        if len(self.body) > MAX_BODY_BYTES:
             raise _body_too_long()
-        self.body_parts.append(part)
 
     def on_message_complete(self) -> None:
         """Called at the last byte of a message; passes the request to the receiver."""
-        self._meter.reset()
+        self._meter.has_boundary = True
         self.is_in_message = False
         if self._http is None or self._receiver is None:
             return
         self.method = self._http.get_method()
         self.should_keep_alive = self._http.should_keep_alive()  # only valid during this call
         self._receiver.on_request()
+        self._discard_message()
+
+    def _discard_message(self) -> None:
+        """Discard the parts of the message, so that the connection holds none of them while it is idle."""
+        self.url = b""
+        self.headers = {}
+        self.header_lines = bytearray()
+        self.body = bytearray()
+        self.head_bytes = 0
+        self._has_framing_header = False
+        self._is_in_trailer = False
 
 
 def _to_client_error(error: httptools.HttpParserError) -> ClientProtocolError:
--- a/yardlane/proxy/request_validation.py
+++ b/yardlane/proxy/request_validation.py
@@ -80,7 +80,7 @@
     is_retry: bool
     is_write: bool
     head: bytes
-    body: bytes
+    body: bytearray
 
 
 class QuotaInfo(NamedTuple):
@@ -184,8 +184,8 @@
         quota_info.gateway_count,
         headers.get(RETRY_HEADER) == b"1",
         method != b"GET",
-        b"".join((method, b" ", parser.url, b" HTTP/1.1\r\n", *parser.header_parts)),
-        b"".join(parser.body_parts),
+        b"".join((method, b" ", parser.url, b" HTTP/1.1\r\n", parser.header_lines)),
+        parser.body,
     )
 
 
@@ -216,7 +216,7 @@
             f"the class wants {class_rule.method.decode()}",
             b"Allow: " + class_rule.method + b"\r\n",
         )
-    if class_rule.method == b"GET" and parser.body_bytes:
+    if class_rule.method == b"GET" and parser.body:
         raise _bad_request("GET with a body")
 
 
