Limit every part of an upstream's response, and keep none on idle connections

Change: MessageMeter counts what is passed to the parser, as for requests; the body is one buffer; the reader drops the final response when the connection becomes idle.

--- a/tests/proxy/message_cuts.py
+++ b/tests/proxy/message_cuts.py
@@ -1,8 +1,8 @@
-"""Endless messages, in the ways in which a peer may cut them into lines and reads, and how to feed them."""
+"""Long and endless messages, cut into lines, chunks and reads as a peer may cut them, and what they cost."""
 
 import tracemalloc
 from collections.abc import Callable, Iterator
-from itertools import repeat
+from itertools import pairwise, repeat
 
 from yardlane.proxy.message_meter import MAX_HEAD_BYTES, MAX_PART_BYTES
 
@@ -20,6 +20,18 @@
     yield from repeat(read, ENDLESS_BYTES // len(read))
 
 
+def chunked(body_bytes: int, chunk_bytes: int) -> bytes:
+    """Return a chunked body of `body_bytes`, in chunks of `chunk_bytes`."""
+    chunk = b"%x\r\n%b\r\n" % (chunk_bytes, b"x" * chunk_bytes)
+    return chunk * (body_bytes // chunk_bytes) + b"0\r\n\r\n"
+
+
+def split(data: bytes, read_bytes: int) -> list[bytes]:
+    """Return `data` in reads of `read_bytes`; the last one may be shorter."""
+    bounds = [*range(0, len(data), read_bytes), len(data)]
+    return [data[start:end] for start, end in pairwise(bounds)]
+
+
 def taken_before(
     error_class: type[Exception], feed: Callable[[bytes], object], reads: Iterator[bytes]
 ) -> int:
--- a/tests/proxy/test_request_limits.py
+++ b/tests/proxy/test_request_limits.py
@@ -3,7 +3,6 @@
 import asyncio
 import gc
 import tracemalloc
-from itertools import pairwise
 
 import pytest
 
@@ -16,7 +15,15 @@
     running_server,
     uvloop_test,
 )
-from tests.proxy.message_cuts import MAX_TAKEN_BYTES, READ_SIZES, endless, peak_bytes_of, taken_before
+from tests.proxy.message_cuts import (
+    MAX_TAKEN_BYTES,
+    READ_SIZES,
+    chunked,
+    endless,
+    peak_bytes_of,
+    split,
+    taken_before,
+)
 from yardlane.errors import FatalRequestError
 from yardlane.proxy.client_response import Status
 from yardlane.proxy.message_meter import MAX_HEAD_BYTES
@@ -98,18 +105,6 @@
         assert await read_status(reader) == str(int(Status.REQUEST_HEADER_FIELDS_TOO_LARGE))
 
 
-def chunked(body_bytes: int, chunk_bytes: int) -> bytes:
-    """Return a chunked body of `body_bytes`, in chunks of `chunk_bytes`."""
-    chunk = b"%x\r\n%b\r\n" % (chunk_bytes, b"x" * chunk_bytes)
-    return chunk * (body_bytes // chunk_bytes) + b"0\r\n\r\n"
-
-
-def split(data: bytes, read_bytes: int) -> list[bytes]:
-    """Return `data` in reads of `read_bytes`; the last one may be shorter."""
-    bounds = [*range(0, len(data), read_bytes), len(data)]
-    return [data[start:end] for start, end in pairwise(bounds)]
-
-
 # Complete requests up to the limits, in small pieces, and the length of the body of each.
 LONGEST_REQUESTS = {
     "chunks of one byte": (CHUNKED_HEAD + chunked(MAX_BODY_BYTES, 1), MAX_BODY_BYTES),
--- a/yardlane/proxy/response.py
+++ b/yardlane/proxy/response.py
@@ -5,12 +5,13 @@
 import httptools
 
 from yardlane.decisions.events import LoadReport, Outcome
-from yardlane.errors import MalformedResponse
+from yardlane.errors import MalformedResponse, MessageTooLong
+from yardlane.proxy.message_meter import MAX_HEAD_BYTES, MessageMeter, parts_of
 from yardlane.settings_reader import LOAD_REPORT_FIELDS
 
-# A response beyond one of these limits is malformed: its attempt ends as CONNECTION_LOST.
+# A response beyond one of these limits, or those of `MessageMeter`, is malformed: its attempt ends as
+# CONNECTION_LOST.
 MAX_BODY_BYTES = 65_536
-MAX_HEAD_BYTES = 16_384  # of the names and values of all headers
 MAX_INTERIM_RESPONSES = 16  # 1xx responses before the final one
 
 MAX_NUMBER_DIGITS = 9  # a longer Content-Length is malformed, a longer Usage-Percent is ignored
@@ -62,6 +63,9 @@
         self.load_report: LoadReport | None = None
 
 
+NO_RESPONSE = UpstreamResponse()
+
+
 def outcome_of(response: UpstreamResponse) -> Outcome:
     """Return the outcome of an attempt that got this complete response.
 
@@ -105,13 +109,14 @@
 
     def __init__(self) -> None:
         self.parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
-        self.response = UpstreamResponse()
-        self.body_parts: list[bytes] = []
-        self.head_bytes = 0
-        self.body_bytes = 0
+        self.response = NO_RESPONSE  # until a response begins
+        # A single buffer, because each part would take a hundred bytes as an object of its own.
+        self.body = bytearray()
+        self.head_bytes = 0  # of the names and values of all headers
+        self._meter = MessageMeter()
         self.interim_count = 0
         self.is_receiving = False  # a response has begun and is not complete
-        self.is_complete = False  # the final response is complete; the connection resets this for reuse
+        self.is_complete = False  # the final response is complete; see `forget_response`
         self.keep_alive = False  # whether the connection can be reused after the final response
 
     def feed(self, data: bytes) -> None:
@@ -120,13 +125,23 @@
         Raises `MalformedResponse` if they are not valid HTTP, exceed a limit, follow a complete response or
         change to another protocol.
         """
-        assert self.parser is not None
+        parser = self.parser
+        assert parser is not None
         try:
-            self.parser.feed_data(data)
+            for part in parts_of(data):
+                parser.feed_data(part)
+                self._meter.count(len(part), self.head_bytes, len(self.body))
+        except MessageTooLong as error:
+            raise MalformedResponse(str(error)) from error
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             cause = error.__context__ or error  # an exception from a callback is the context of this error
             raise MalformedResponse(str(cause)) from error
 
+    def forget_response(self) -> None:
+        """Drop the final response, which has been passed on, and accept the response to the next request."""
+        self.is_complete = False
+        self.response = NO_RESPONSE
+
     def close(self) -> None:
         """Release the parser; no more bytes may be fed.
 
@@ -141,10 +156,10 @@
         """Called when a response begins; raises `MalformedResponse` if the final one is already complete."""
         if self.is_complete:
             raise MalformedResponse("more than one response to a request")
+        self._meter.has_boundary = True
         self.response = UpstreamResponse()
-        self.body_parts = []
+        self.body = bytearray()
         self.head_bytes = 0
-        self.body_bytes = 0
         self.is_receiving = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -172,21 +187,22 @@
 
     def on_body(self, body: bytes) -> None:
         """Called for each part of the body; raises `MalformedResponse` if the body exceeds its limit."""
-        self.body_bytes += len(body)
-        if self.body_bytes > MAX_BODY_BYTES:
+        self.body += body
+        if len(self.body) > MAX_BODY_BYTES:
             raise MalformedResponse(f"response body over {MAX_BODY_BYTES} bytes")
-        self.body_parts.append(body)
 
     def on_message_complete(self) -> None:
         """Called when a response is complete; stores it if it is the final one."""
         assert self.parser is not None
+        self._meter.has_boundary = True
         self.is_receiving = False
         status = self.parser.get_status_code()
         if status < FIRST_FINAL_STATUS:
             self._count_interim()
             return
         self.response.status = status
-        self.response.body = b"".join(self.body_parts)
+        self.response.body = bytes(self.body)
+        self.body = bytearray()
         self.interim_count = 0
         self.is_complete = True
         self.keep_alive = self.parser.should_keep_alive()  # valid only during this callback
--- a/yardlane/proxy/upstream_connection.py
+++ b/yardlane/proxy/upstream_connection.py
@@ -195,7 +195,7 @@
             self.close()
             return
         self._apply(UpstreamEvent.RELEASED)
-        self.reader.is_complete = False
+        self.reader.forget_response()
         self.pool.on_idle(self)
 
     # Sending
