Limit the head, chunk sizes and trailer of discovery's responses

Change: MessageMeter counts what is passed to the parser from the request on, interim responses included; over its limits the poll fails as malformed. A body is handed over once, so bytes behind a response are no longer added to its list.

--- a/tests/proxy/test_discovery_connection.py
+++ b/tests/proxy/test_discovery_connection.py
@@ -7,8 +7,10 @@
 
 from tests.discovery_responses import CHUNKED_RESPONSE_HEAD
 from tests.loopback import FakeServer, make_response, read_message, uvloop_test
+from tests.proxy.message_cuts import MAX_TAKEN_BYTES, READ_SIZES, endless, taken_before
 from yardlane.errors import DiscoveryError, DiscoveryUnreachable
 from yardlane.proxy.discovery_connection import DiscoveryConnection
+from yardlane.proxy.message_meter import MAX_HEAD_BYTES
 
 
 def test_memory_use_of_body_in_small_chunks_is_bounded_by_its_size() -> None:
@@ -29,6 +31,45 @@
         tracemalloc.stop()
 
 
+HEAD = b"HTTP/1.1 200 OK\r\n"
+# The beginning of a response, and what is repeated after it without an end.
+ENDLESS_RESPONSES = {
+    "empty lines before a response": (b"", b"\r\n"),
+    "interim responses": (b"", b"HTTP/1.1 103 X\r\n\r\n"),
+    "reason phrase": (b"HTTP/1.1 200 ", b"a"),
+    "header name": (HEAD, b"a"),
+    "header value": (HEAD + b"a: ", b"a"),
+    "headers": (HEAD, b"a: b\r\n"),
+    "chunk size": (CHUNKED_RESPONSE_HEAD, b"0"),
+    "chunk extension": (CHUNKED_RESPONSE_HEAD + b"1;a=", b"a"),
+    "extensions of chunks of one byte": (CHUNKED_RESPONSE_HEAD, b"1;" + b"a" * 1000 + b"\r\nx\r\n"),
+    "trailer value": (CHUNKED_RESPONSE_HEAD + b"0\r\na: ", b"a"),
+    "trailers": (CHUNKED_RESPONSE_HEAD + b"0\r\n", b"a: b\r\n"),
+}
+
+
+@pytest.mark.parametrize("read_bytes", READ_SIZES)
+@pytest.mark.parametrize(("start", "filler"), ENDLESS_RESPONSES.values(), ids=ENDLESS_RESPONSES)
+def test_endless_part_of_a_response_is_malformed_at_the_limit(
+    start: bytes, filler: bytes, read_bytes: int
+) -> None:
+    """Discovery sends a response whose head, chunk sizes or trailer do not end.
+
+    Until the poll timed out seconds later, parsing it took as much processor time as the sender could use.
+    """
+    connection = DiscoveryConnection(("127.0.0.1", 9))
+    response = asyncio.new_event_loop().create_future()
+    connection.response = response
+
+    def feed(data: bytes) -> None:
+        connection.data_received(data)
+        if response.done():
+            response.result()
+
+    taken_bytes = taken_before(DiscoveryError, feed, endless(start, filler, read_bytes))
+    assert taken_bytes <= len(start) + MAX_HEAD_BYTES + MAX_TAKEN_BYTES
+
+
 async def connect(discovery: FakeServer) -> DiscoveryConnection:
     """Return an established connection to a fake discovery."""
     connection = DiscoveryConnection(("127.0.0.1", discovery.port))
--- a/yardlane/proxy/discovery_connection.py
+++ b/yardlane/proxy/discovery_connection.py
@@ -8,7 +8,8 @@
 import httptools
 
 from yardlane.config import Address
-from yardlane.errors import DiscoveryError, DiscoveryUnreachable
+from yardlane.errors import DiscoveryError, DiscoveryUnreachable, MessageTooLong
+from yardlane.proxy.message_meter import MessageMeter, parts_of
 
 MAX_BODY_BYTES = 8_000_000
 HTTP_OK = 200
@@ -18,8 +19,8 @@
     """A connection to discovery that is used for one request after another until either side closes it.
 
     A request fails with DiscoveryUnreachable if the connection ends before the response is complete. It fails
-    with DiscoveryError if the response is not valid HTTP, has a status other than 200, or has a body of more
-    than `MAX_BODY_BYTES`. Either error closes the connection.
+    with DiscoveryError if the response is not valid HTTP, has a status other than 200, has a body of more
+    than `MAX_BODY_BYTES`, or exceeds the limits of `MessageMeter`. Either error closes the connection.
     """
 
     def __init__(self, address: Address) -> None:
@@ -31,6 +32,8 @@
         # A single buffer: if a body arrives in small chunks, a list of the chunks would take many times its
         # size.
         self.body = bytearray()
+        # Interim responses count together with the final one, because a request may get any number of them.
+        self.meter = MessageMeter()
 
     def get(self, path: bytes) -> asyncio.Future[bytearray]:
         """Send a GET request and return a future for the body of its response.
@@ -41,6 +44,7 @@
         if self.transport is None:
             raise DiscoveryUnreachable("connection ended before the request was sent")
         self.body = bytearray()
+        self.meter.has_boundary = True
         self.response = asyncio.get_running_loop().create_future()
         self.transport.write(b"GET " + path + b" HTTP/1.1\r\nHost: " + self.host_header + b"\r\n\r\n")
         return self.response
@@ -74,7 +78,11 @@
     def data_received(self, data: bytes) -> None:
         """Called when data arrives; parses it as a response, and fails the request if it is malformed."""
         try:
-            self.parser.feed_data(data)
+            for part in parts_of(data):
+                self.parser.feed_data(part)
+                self.meter.count(len(part), 0, len(self.body))
+        except MessageTooLong as error:
+            self._fail(DiscoveryError(f"malformed response: {error}"))
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             # If `on_body` raised an exception, that exception is the context of the parser's own error.
             self._fail(DiscoveryError(f"malformed response: {error.__context__ or error}"))
@@ -104,5 +112,7 @@
             return
         if self.response is not None and not self.response.done():
             self.response.set_result(self.body)
+        self.body = bytearray()  # the caller owns the old one
+        self.meter.has_boundary = True
         if not self.parser.should_keep_alive():
             self.close()
