Limit the values, entries and kept names of an endpoint list

Parsed JSON of short values takes up to thirty times its text, the decoder kept a message for each malformed value, and names of zones and hardware kinds, which are kept for good, were limited in number and not in length.

Change: a list with more values or entries than fit in 8 MB of complete entries is malformed (counted by its commas and brackets before it is parsed); only the first problem is kept with a count; a name of over 256 characters is a malformed value.

Tests: 7 of the 8 new cases in test_endpoint_decoder.py failed before; the eighth shows that a list of complete entries is still accepted.

--- a/tests/proxy/test_endpoint_decoder.py
+++ b/tests/proxy/test_endpoint_decoder.py
@@ -1,14 +1,23 @@
 """Tests of the decoding of endpoint lists, including malformed ones."""
 
 import json
+from contextlib import suppress
 from typing import Any
 
 import pytest
 
 from tests.loopback import endpoint_list_dict, make_config, member_dict
+from tests.proxy.message_cuts import peak_bytes_of
 from yardlane.decisions.events import EndpointState
 from yardlane.errors import MalformedEndpointList
-from yardlane.proxy.endpoint_decoder import MAX_INDEXED_NAMES, EndpointDecoder, parse_json
+from yardlane.proxy.discovery_connection import MAX_BODY_BYTES
+from yardlane.proxy.endpoint_decoder import (
+    MAX_ENTRIES,
+    MAX_INDEXED_NAMES,
+    MAX_NAME_CHARS,
+    EndpointDecoder,
+    parse_json,
+)
 
 
 def make_decoder() -> EndpointDecoder:
@@ -35,6 +44,58 @@
     assert len(decoder.zone_indices) == len(decoder.hardware_kind_indices) == MAX_INDEXED_NAMES
 
 
+def test_kept_names_are_limited_in_length() -> None:
+    """Each list names another zone and hardware kind, with millions of characters.
+
+    The names are kept for good, so their number alone does not limit the memory that they take.
+    """
+    decoder = make_decoder()
+    for n in range(MAX_INDEXED_NAMES):
+        name = f"{n}" + "x" * MAX_NAME_CHARS
+        decoder.decode(endpoint_list_dict(member_dict("s-1", 9, locality=name, flavor=name)))
+    kept_names = [*decoder.zone_indices, *decoder.hardware_kind_indices]
+    assert all(len(name) <= MAX_NAME_CHARS for name in kept_names)
+
+
+def list_of(entry: bytes, separator: bytes = b",") -> bytearray:
+    """Return the longest list that discovery may send, with an entry repeated as often as it fits.
+
+    `%d` in the entry is replaced by eight digits that differ in each entry.
+    """
+    start = b'{"revision": 1, "complete": true, "members": ['
+    length = len(entry.replace(b"%d", b"8digits!")) + len(separator)
+    count = (MAX_BODY_BYTES - len(start) - 2) // length
+    entries = (entry.replace(b"%d", b"%d" % (10_000_000 + n)) for n in range(count))
+    return bytearray(start + separator.join(entries) + b"]}")
+
+
+@pytest.mark.parametrize(
+    "entry",
+    [b"[]", b"{}", b"0.5", b'"%d"', b'{"id": "%d"}', b'{"id": "s", "cell": "x", "size": "x", "flavor": {}}'],
+)
+def test_list_of_short_values_costs_memory_in_proportion_to_its_limit(entry: bytes) -> None:
+    """Discovery sends a list of the greatest length, whose entries are not endpoints.
+
+    Parsed JSON takes up to thirty times as much memory as its text, and a message was kept for each malformed
+    value, so that one such list took more memory than the process may have.
+    """
+    body = list_of(entry)
+
+    def decode() -> None:
+        with suppress(MalformedEndpointList):  # raised for a list of too many values, as intended
+            make_decoder().decode(parse_json(body))
+
+    assert peak_bytes_of(decode) <= 4 * MAX_BODY_BYTES
+
+
+def test_list_with_many_complete_entries_is_not_refused() -> None:
+    """The limits on entries and values must not refuse a list that is within the limit on its length."""
+    entry = json.dumps(member_dict("s-%d", 9)).encode()
+    decoded = make_decoder().decode(parse_json(list_of(entry)))
+    assert MAX_ENTRIES / 2 < len(decoded.update.endpoints) <= MAX_ENTRIES
+    assert not decoded.is_ambiguous
+
+
 MALFORMED_FIELDS: list[dict[str, Any]] = [
     {"size": float("nan")},
     {"size": float("inf")},
--- a/yardlane/proxy/endpoint_decoder.py
+++ b/yardlane/proxy/endpoint_decoder.py
@@ -55,7 +55,12 @@
 # The maximum number of zone names that get an index of their own, and likewise of hardware kind names.
 # Without this limit, a discovery that sends new names all the time would fill the memory within a day.
 MAX_INDEXED_NAMES = 64
+MAX_NAME_CHARS = 256  # of a zone or a hardware kind; these names are kept as long as the process runs
 MAX_LOGGED_VALUE_CHARS = 60
+# Parsed JSON takes far more memory than its text if its values are short. An entry with all its keys takes at
+# least 125 bytes, so a list of 8 MB has at most this many.
+MAX_ENTRIES = 64_000
+MAX_JSON_VALUES = 10 * MAX_ENTRIES  # an entry, its eight values, and some margin
 
 T = TypeVar("T")
 Addresses = dict[bytes, Address]
@@ -88,18 +93,20 @@
         """
         if not isinstance(document, dict) or not isinstance(document.get("members"), list):
             raise MalformedEndpointList("endpoint list must be an object with a list of members")
+        if len(document["members"]) > MAX_ENTRIES:
+            raise MalformedEndpointList(f"endpoint list must have at most {MAX_ENTRIES} members")
         if kind is None:
             kind = UpdateKind.SNAPSHOT if document.get("complete") is True else UpdateKind.DELTA
         version = _decode_version(document.get("revision"))
         builder = _ListBuilder(self.zone_indices, self.hardware_kind_indices)
         for entry in document["members"]:
             builder.add(entry)
-        if builder.problems:  # logged in a single line, as there may be many
+        if builder.problem_count:  # logged in a single line, as there may be many
             log.warning(
                 "endpoint list version %d has %d malformed values or ambiguous entries, the first: %.200s",
                 version,
-                len(builder.problems),
-                builder.problems[0],
+                builder.problem_count,
+                builder.first_problem,
             )
         endpoints = list(builder.endpoints.values())
         if kind is not UpdateKind.DELTA:
@@ -109,7 +116,7 @@
 
 
 class _ListBuilder:
-    """Collects the decoded entries of one list, and the problems found in them."""
+    """Collects the decoded entries of one list, and counts the problems found in them."""
 
     def __init__(self, zone_indices: dict[str, int], hardware_kind_indices: dict[str, int]) -> None:
         self.zone_indices = zone_indices
@@ -117,7 +124,8 @@
         self.endpoints: dict[bytes, Endpoint] = {}
         self.addresses: Addresses = {}
         self.is_ambiguous = False
-        self.problems: list[str] = []
+        self.problem_count = 0
+        self.first_problem = ""  # only one is kept, because a list may have several problems in each entry
 
     def add(self, entry: object) -> None:
         """Decode one entry and add it.
@@ -147,10 +155,15 @@
 
     def _record_ambiguity(self, problem: str) -> None:
         self.is_ambiguous = True
-        self.problems.append(problem)
+        self._record_problem(problem)
+
+    def _record_problem(self, problem: str) -> None:
+        self.problem_count += 1
+        if self.problem_count == 1:
+            self.first_problem = problem
 
     def _decode_endpoint(self, endpoint_id: bytes, entry: dict[str, Any]) -> tuple[Endpoint, Address | None]:
-        problem_count_before = len(self.problems)
+        problem_count_before = self.problem_count
         state = self._decode_field(entry, "phase", _decode_state, EndpointState.DRAINING)
         is_removed = state is EndpointState.REMOVED
         address = None if is_removed else self._decode_field(entry, "host_port", _decode_address, None)
@@ -159,7 +172,7 @@
         zone = self._decode_field(entry, "locality", self._decode_zone, 0)
         cell = self._decode_field(entry, "cell", _decode_integer, 0)
         hardware_kind = self._decode_field(entry, "flavor", self._decode_hardware_kind, 0)
-        if len(self.problems) > problem_count_before and not is_removed:
+        if self.problem_count > problem_count_before and not is_removed:
             state = EndpointState.DRAINING
         started_at_us = max(0, started_at_ms) * US_PER_MS
         return Endpoint(endpoint_id, state, started_at_us, weight, zone, cell, hardware_kind), address
@@ -169,7 +182,7 @@
         try:
             return decode(value)
         except MalformedEndpoint as error:
-            self.problems.append(f"{name} is {_format_value(value)}: {error}")
+            self._record_problem(f"{name} is {_format_value(value)}: {error}")
             return default
 
     def _decode_zone(self, name: object) -> int:
@@ -180,7 +193,14 @@
 
 
 def parse_json(body: bytearray) -> object:
-    """Parse a response body as JSON. Raises MalformedEndpointList if it is not valid JSON."""
+    """Parse a response body as JSON.
+
+    Raises MalformedEndpointList if it is not valid JSON or may have more than `MAX_JSON_VALUES` values. These
+    are counted by the characters that precede a value, so commas and brackets within strings count too.
+    """
+    value_count = body.count(b",") + body.count(b"[") + body.count(b"{")
+    if value_count > MAX_JSON_VALUES:
+        raise MalformedEndpointList(f"JSON must have at most {MAX_JSON_VALUES} values")
     try:
         return json.loads(body)
     except ValueError as error:
@@ -197,6 +217,8 @@
     """
     if not isinstance(value, str | int | float):
         return type(value).__name__
+    if isinstance(value, str):
+        value = value[:MAX_LOGGED_VALUE_CHARS]
     return repr(value)[:MAX_LOGGED_VALUE_CHARS]
 
 
@@ -258,13 +280,17 @@
     """Return the index of a name; a new name gets the next free index.
 
     Once `MAX_INDEXED_NAMES` names have an index, all further names share the next index. A number is used as
-    a name in its text form. Raises MalformedEndpoint if the name is neither a string nor a number nor None.
+    a name in its text form. Raises MalformedEndpoint if the name is neither a string nor a number nor None,
+    or has more than `MAX_NAME_CHARS` characters.
     """
     if name is not None and not isinstance(name, str | int | float):
         raise MalformedEndpoint("name must be a string or a number")
-    index = indices.get(str(name))
+    text = str(name)
+    if len(text) > MAX_NAME_CHARS:
+        raise MalformedEndpoint(f"name must have at most {MAX_NAME_CHARS} characters")
+    index = indices.get(text)
     if index is None:
         index = len(indices)
         if index < MAX_INDEXED_NAMES:
-            indices[str(name)] = index
+            indices[text] = index
     return index
