Limit the lines of the counter's replies, complete ones too

A connection that was dropped kept what it had read.

Change: a complete line of over 256 bytes is malformed; at most one line more than there can be calls is separated; a dropped connection keeps no bytes.

--- a/tests/proxy/test_counter_connection.py
+++ b/tests/proxy/test_counter_connection.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from tests.proxy.message_cuts import peak_bytes_of
 from yardlane.decisions.events import CounterResult, Outcome
 from yardlane.proxy.counter_connection import (
     NO_REPLY_TIMEOUT_FACTOR,
@@ -221,3 +222,32 @@
     transport = idle.connect()
     idle.connection.close_gracefully()
     assert transport.is_closed
+
+
+READ_BYTES = 250_000  # about as many as the event loop reads at once
+
+
+@pytest.mark.parametrize(
+    "read",
+    [
+        b"\n" * READ_BYTES,
+        b"ok 1\r\n" * (READ_BYTES // 6),
+        b"error " + b"aa " * (READ_BYTES // 3) + b"\r\n",
+        b"error " + b"a" * READ_BYTES + b"\r\n",
+        b"ok " + b"1" * READ_BYTES,
+    ],
+    ids=["empty lines", "replies to no call", "a line of words", "a long word", "a line without an end"],
+)
+def test_excessive_reply_drops_the_connection_and_costs_no_more_memory_than_its_read(read: bytes) -> None:
+    """The counter sends far more lines than there are calls, or a line far longer than any reply.
+
+    All lines and words of a read were separated before the first one was checked, which took many times the
+    memory of the read. A complete line was accepted whatever its length.
+    """
+    driver = ConnectionDriver()
+    driver.call()
+    transport = driver.connect()
+    assert peak_bytes_of(lambda: driver.connection.data_received(read)) <= 2 * len(read)
+    assert transport.is_closed
+    assert not driver.connection.buffer
+    assert len(driver.results) == 1
--- a/yardlane/proxy/counter_connection.py
+++ b/yardlane/proxy/counter_connection.py
@@ -34,8 +34,10 @@
 # The maximum number of unanswered calls on one connection. With more, a counter that recovers after being
 # unresponsive would first have to work off a backlog.
 MAX_UNANSWERED_CALLS = 16
-# A longer incomplete line is treated as malformed.
+# A longer line is malformed, whether it is complete or not.
 MAX_LINE_BYTES = 256
+# The maximum number of lines that are read at once: a reply to each call, and one more, which is malformed.
+MAX_LINES = MAX_UNANSWERED_CALLS + 1
 # A connection with unanswered calls is dead after this many call timeouts without progress. See
 # `last_progress_at_s` for what counts as progress.
 NO_REPLY_TIMEOUT_FACTOR = 10
@@ -211,6 +213,7 @@
             log.warning("connection to the counter failed: %s", reason)
         transport = self.transport
         self.transport = None
+        self.buffer = b""
         # If the counter has replied on this connection, the next call may connect at once.
         delay_s = 0.0 if transport is not None and self.has_received_reply else RECONNECT_DELAY_S
         self.reconnect_not_before_s = self.loop.time() + delay_s
@@ -229,7 +232,7 @@
             return
         if not self.buffer:  # more bytes of an incomplete line are not progress
             self.last_progress_at_s = self.loop.time()
-        *lines, self.buffer = (self.buffer + data).split(b"\n")
+        *lines, self.buffer = (self.buffer + data).split(b"\n", MAX_LINES)
         try:
             for line in lines:
                 self._handle_line(line)
@@ -244,10 +247,11 @@
     def _handle_line(self, line: bytes) -> None:
         """End the oldest call with the reply in this line.
 
-        Raises MalformedCounterReply if the line is not a reply to that call, or if no call is pending.
+        Raises MalformedCounterReply if the line is not a reply to that call or too long, or if no call is
+        pending.
         """
         self.last_progress_at_s = self.loop.time()
-        if not self.calls:
+        if not self.calls or len(line) > MAX_LINE_BYTES:
             raise MalformedCounterReply(line[:MAX_LOGGED_BYTES])
         call = self.calls.popleft()
         if call.is_ping:
