Limit the requests of one read that are answered at once

An invalid request or a health check is answered at once and is never pending, so a client could send any number of them in a read.

Change: more than MAX_PENDING_REQUESTS + MAX_EXCESS_REQUESTS (68) requests in one read end the connection with 503 behind the earlier responses, as they do already if they are pending.

--- a/tests/proxy/test_client_connection.py
+++ b/tests/proxy/test_client_connection.py
@@ -22,7 +22,12 @@
 )
 from yardlane.decisions.actions import Action, Reject
 from yardlane.decisions.events import Event, RequestArrived
-from yardlane.proxy.client_connection import MAX_EXCESS_REQUESTS, MAX_PENDING_REQUESTS, REQUEST_TIMEOUT_S
+from yardlane.proxy.client_connection import (
+    MAX_EXCESS_REQUESTS,
+    MAX_PENDING_REQUESTS,
+    MAX_REQUESTS_PER_READ,
+    REQUEST_TIMEOUT_S,
+)
 from yardlane.proxy.client_state import ClientState
 
 TOO_LARGE_REQUEST = make_request("file", Content_Length="4000000") + b"x" * 4_000_000
@@ -84,6 +89,32 @@
         assert 0 < responses.count(b"HTTP/1.1 ") <= 2 * (MAX_PENDING_REQUESTS + MAX_EXCESS_REQUESTS)
 
 
+@pytest.mark.parametrize(
+    "request_bytes",
+    [b"GET / HTTP/1.1\r\n\r\n", make_request(Plan="unheard-of"), HEALTH_CHECK],
+    ids=["not a request of the protocol", "invalid", "health check"],
+)
+def test_many_requests_that_are_answered_at_once_close_the_connection(request_bytes: bytes) -> None:
+    """A client sends hundreds of small requests at once, each of which is answered before the next is read.
+
+    They are never pending, so no limit applied: one read blocked the event loop for 0.08 s, and the
+    responses took several times the memory of the read if the client did not read them."""
+
+    @uvloop_test
+    async def run() -> None:
+        async with running_server(ScriptedDecider(leave_pending)) as server:
+            [(reader, writer)] = await connect_clients(server, 1)
+            connection = only_connection(server)
+            connection.data_received(request_bytes * 600)
+            assert connection.state is ClientState.CLOSING
+            responses = await read_until_closed(reader)
+            assert responses.count(b"HTTP/1.1 ") == MAX_REQUESTS_PER_READ + 1
+            assert responses.endswith(b"too many requests at once\n")
+            writer.close()
+
+    run()
+
+
 @uvloop_test
 async def test_client_that_is_still_sending_receives_the_error_response() -> None:
     """Closing a socket with unread bytes resets the connection, and the client could lose the response that
--- a/yardlane/proxy/client_connection.py
+++ b/yardlane/proxy/client_connection.py
@@ -27,6 +27,9 @@
 # A single read may bring more requests than MAX_PENDING_REQUESTS. Up to this number of excess requests are
 # each answered with 503. One more is a fatal error, after which the connection closes.
 MAX_EXCESS_REQUESTS = 64
+# Invalid requests and health checks are answered at once and are never pending, so the number of requests in
+# one read is limited as well.
+MAX_REQUESTS_PER_READ = MAX_PENDING_REQUESTS + MAX_EXCESS_REQUESTS
 # The time to receive a whole request, and to receive the first byte on a new connection. After a fatal error,
 # it also limits how long the error response waits for the responses to earlier requests. This wait counts
 # from the start of the request timeout, not from the error.
@@ -76,6 +79,7 @@
         self.state = ClientState.ACCEPTED
         self.is_write_buffer_full = False
         self.has_received_request = False
+        self.requests_in_read = 0
         # When the connection was accepted, a request was last answered, or CLOSING began.
         self.last_active_s = server.loop_time_s()
         self.request_timeout_started_s = self.last_active_s
@@ -170,6 +174,7 @@
         """Called when bytes have been received; discards them if no further request is accepted."""
         if self.state is not OPEN:
             return
+        self.requests_in_read = 0
         try:
             if not self.parser.feed(data):  # the client asked to change to another protocol
                 self._close_after_pending()
@@ -211,12 +216,14 @@
     def on_request(self) -> None:
         """Called when a complete request has been read; answers it or passes it to the handler.
 
-        Raises `FatalRequestError` if too many requests are pending.
+        Raises `FatalRequestError` if too many requests are pending or came in one read.
         """
         if self.state is not OPEN:
             return  # pipelined after the last request that this connection accepts
         self.has_received_request = True
-        if len(self.pending) >= MAX_PENDING_REQUESTS + MAX_EXCESS_REQUESTS:
+        self.requests_in_read += 1
+        is_full = len(self.pending) >= MAX_PENDING_REQUESTS + MAX_EXCESS_REQUESTS
+        if is_full or self.requests_in_read > MAX_REQUESTS_PER_READ:
             raise FatalRequestError(Status.SERVICE_UNAVAILABLE, "too many requests at once")
         request = ClientRequest(self)
         self.pending.append(request)
