Ignore a load report of over 1,024 bytes

A report of ten metrics has about 150 bytes.

Test: test_load_report_beyond_its_limit_is_ignored, which the constant did not exist for before; with the check taken out it fails at its last line.

--- a/tests/proxy/test_response.py
+++ b/tests/proxy/test_response.py
@@ -18,7 +18,12 @@
 from tests.upstream_side import forward, serve_on_new_connection, until_state
 from yardlane.decisions.events import AttemptEnded, LoadReport, Outcome
 from yardlane.errors import MalformedResponse
-from yardlane.proxy.response import MAX_INTERIM_RESPONSES, ResponseReader, parse_load_report
+from yardlane.proxy.response import (
+    MAX_INTERIM_RESPONSES,
+    MAX_LOAD_REPORT_BYTES,
+    ResponseReader,
+    parse_load_report,
+)
 from yardlane.proxy.upstream_state import UpstreamState
 
 CLOSE = b""  # the backend closes the connection without a response
@@ -112,6 +117,14 @@
     assert parse_load_report(b"TEXT depth=inf, mean_ms=-1") is None
 
 
+def test_load_report_beyond_its_limit_is_ignored() -> None:
+    """An upstream fills its load report with separators, up to the limit on heads. Parsing the report blocked
+    the event loop for 15 ms with each response."""
+    padding = b"," * MAX_LOAD_REPORT_BYTES
+    assert parse_load_report(b"util=0.5" + padding[8:]) == LoadReport(utilization=0.5)
+    assert parse_load_report(b"util=0.5" + padding) is None
+
+
 def test_reader_raises_malformed_response_beyond_its_limits() -> None:
     """A backend sends endless interim responses, or two responses to one request. The reader raises
     `MalformedResponse`, which tells the connection that the upstream is at fault."""
--- a/yardlane/proxy/response.py
+++ b/yardlane/proxy/response.py
@@ -13,6 +13,8 @@
 # CONNECTION_LOST.
 MAX_BODY_BYTES = 65_536
 MAX_INTERIM_RESPONSES = 16  # 1xx responses before the final one
+# A longer load report is ignored. Parsing one takes up to a microsecond for each byte.
+MAX_LOAD_REPORT_BYTES = 1_024
 
 MAX_NUMBER_DIGITS = 9  # a longer Content-Length is malformed, a longer Usage-Percent is ignored
 FIRST_FINAL_STATUS = 200
@@ -81,12 +83,14 @@
 
 
 def parse_load_report(text: bytes) -> LoadReport | None:
-    """Return the metrics of a load report, or None if it has no valid metric.
+    """Return the metrics of a load report, or None if it has no valid metric or is too long.
 
     Metrics that are unknown, not numeric, negative or too great are ignored. A valid metric that the
     decisions do not use (`qps=4`) still counts, because it shows that the upstream reports its load. Alone,
     it gives a `LoadReport` without values, which the decisions take for a load of 0.
     """
+    if len(text) > MAX_LOAD_REPORT_BYTES:
+        return None
     metrics: dict[str, float] = {}
     for part in text.decode("latin-1").removeprefix(LOAD_REPORT_FORMAT).split(","):
         name, _, value = part.partition("=")
