Read a Content-Length with thousands of leading zeros without an unexpected error

Callers saw 400 for such a length, and each of these requests was logged as an unexpected exception: int() of Python 3.11 refuses more than 4,300 digits. httptools skips leading zeros, so the length itself is valid.

Change: RequestParser strips the zeros and compares the number of digits first.

Tests: test_length_with_leading_zeros_is_read_without_an_unexpected_error[5000] failed before. test_requests_are_parsed_alike_however_they_are_cut (seeded) shows that the limits on parts of a read change no request that is within them.

--- a/tests/proxy/test_request_limits.py
+++ b/tests/proxy/test_request_limits.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import random
 import tracemalloc
 
 import pytest
@@ -105,6 +106,19 @@
         assert await read_status(reader) == str(int(Status.REQUEST_HEADER_FIELDS_TOO_LARGE))
 
 
+class RecordingReceiver(RequestSink):
+    """Receives the requests of a parser of its own and records them."""
+
+    def __init__(self) -> None:
+        self.parser = RequestParser(self)
+        self.heads: list[bytes] = []
+        self.bodies: list[bytes] = []
+
+    def on_request(self) -> None:
+        self.heads.append(bytes(self.parser.header_lines))
+        self.bodies.append(bytes(self.parser.body))
+
+
 # Complete requests up to the limits, in small pieces, and the length of the body of each.
 LONGEST_REQUESTS = {
     "chunks of one byte": (CHUNKED_HEAD + chunked(MAX_BODY_BYTES, 1), MAX_BODY_BYTES),
@@ -136,6 +150,41 @@
     assert peak_bytes_of(run) <= 2 * (body_bytes + MAX_TAKEN_BYTES)
 
 
+@pytest.mark.parametrize("zeros", [0, 100, 5000])
+def test_length_with_leading_zeros_is_read_without_an_unexpected_error(
+    zeros: int, caplog: pytest.LogCaptureFixture
+) -> None:
+    """A client writes a Content-Length of thousands of digits. Python does not convert so many, so each
+    such request was logged as an unexpected exception, which hides other log lines."""
+    receiver = RecordingReceiver()
+    length = b"0" * zeros + b"3"
+    receiver.parser.feed(HEAD + b"Content-Length: " + length + b"\r\n\r\nabc")
+    assert receiver.bodies == [b"abc"]
+    with pytest.raises(FatalRequestError, match="body over"):
+        receiver.parser.feed(HEAD + b"Content-Length: " + b"0" * zeros + b"65537\r\n\r\n")
+    assert not caplog.records
+
+
+def test_requests_are_parsed_alike_however_they_are_cut() -> None:
+    """The limits are applied to parts of a read. They must neither refuse a request that is within them nor
+    change what is read, wherever the reads and their parts begin and end."""
+    generator = random.Random(20261204)
+    for _ in range(60):
+        requests = [generator.choice(list(LONGEST_REQUESTS.values()))[0] for _ in range(3)]
+        requests.insert(generator.randrange(4), HEAD + b"Content-Length: 5\r\nX-Note: a b\r\n\r\nhello")
+        stream = b"".join(requests)
+        whole, cut = RecordingReceiver(), RecordingReceiver()
+        for request in requests:
+            whole.parser.feed(request)
+        position = 0
+        while position < len(stream):
+            end = position + generator.choice((1, 100, 16_383, 16_384, 16_385, 50_000, 256_000))
+            cut.parser.feed(stream[position:end])
+            position = end
+        assert len(cut.bodies) == len(requests)
+        assert (cut.bodies, cut.heads) == (whole.bodies, whole.heads)
+
+
 @uvloop_test
 async def test_answered_request_leaves_nothing_on_its_idle_connection() -> None:
     """Clients send one request each and keep their connections. The parts of a request were kept until the
--- a/yardlane/proxy/request_parser.py
+++ b/yardlane/proxy/request_parser.py
@@ -20,6 +20,7 @@
 log = logging.getLogger("yardlane.proxy.request_parser")
 
 MAX_BODY_BYTES = 65_536
+MAX_BODY_LENGTH_DIGITS = len(str(MAX_BODY_BYTES))  # of a Content-Length without its leading zeros
 HEADER_LINE_EXTRA_BYTES = 4  # the colon, the space and the CRLF
 
 CONTENT_LENGTH = b"content-length"
@@ -204,7 +205,8 @@
         if self._has_framing_header or is_unsupported_coding:
             raise FatalRequestError(Status.BAD_REQUEST, "odd framing")
         self._has_framing_header = True
-        if value.isdigit() and int(value) > MAX_BODY_BYTES:
+        digits = value.lstrip(b"0")
+        if digits.isdigit() and (len(digits) > MAX_BODY_LENGTH_DIGITS or int(digits) > MAX_BODY_BYTES):
             raise _body_too_long()
 
     def on_headers_complete(self) -> None:
