--- a/tests/proxy/test_request_limits.py
+++ b/tests/proxy/test_request_limits.py
@@ -115,7 +115,7 @@
         self.bodies: list[bytes] = []
 
     def on_request(self) -> None:
-        self.heads.append(bytes(self.parser.header_lines))
+        self.heads.append(b"".join(self.parser.header_parts))
         self.bodies.append(bytes(self.parser.body))
 
 
@@ -191,12 +191,14 @@
     next one, so idle connections added up to more memory than the process may have."""
     client_count = 20
     async with running_server(ScriptedDecider(reject_all)) as server:
-        streams = [await server.connect_client() for _ in range(client_count)]
+        streams = []
         head = make_request("file", Content_Length=None, Transfer_Encoding="chunked")
         request = head + chunked(MAX_BODY_BYTES, 2)
         tracemalloc.start()
         try:
-            for reader, writer in streams:
+            for _ in range(client_count):
+                reader, writer = await server.connect_client()
+                streams.append((reader, writer))
                 writer.write(request)
                 assert await read_status(reader) == "429"
             gc.collect()
--- a/yardlane/proxy/request_parser.py
+++ b/yardlane/proxy/request_parser.py
@@ -15,13 +15,14 @@
 
 from yardlane.errors import ClientProtocolError, FatalRequestError, MessageTooLong
 from yardlane.proxy.client_response import Status
-from yardlane.proxy.message_meter import MAX_HEAD_BYTES, MessageMeter, parts_of
+from yardlane.proxy.message_meter import MAX_HEAD_BYTES, MAX_PART_BYTES, MessageMeter, parts_of
 
 log = logging.getLogger("yardlane.proxy.request_parser")
 
 MAX_BODY_BYTES = 65_536
 MAX_BODY_LENGTH_DIGITS = len(str(MAX_BODY_BYTES))  # of a Content-Length without its leading zeros
 HEADER_LINE_EXTRA_BYTES = 4  # the colon, the space and the CRLF
+MAX_HEADER_PARTS = 256  # four for each header; more are joined
 
 CONTENT_LENGTH = b"content-length"
 TRANSFER_ENCODING = b"transfer-encoding"
@@ -51,8 +52,9 @@
         HOST_HEADER,
     )
 )
-# Headers that apply only to the client's connection, or that the proxy writes itself.
-NON_FORWARDED_HEADERS = frozenset(
+# Headers that apply only to the client's connection. They are not forwarded, and neither is
+# EXPIRES_IN_HEADER, which the proxy writes itself.
+CONNECTION_HEADERS = frozenset(
     (
         b"connection",
         b"keep-alive",
@@ -63,7 +65,6 @@
         b"upgrade",
         CONTENT_LENGTH,
         EXPECT,
-        EXPIRES_IN_HEADER,
     )
 )
 
@@ -95,7 +96,7 @@
         "_receiver",
         "body",
         "head_bytes",
-        "header_lines",
+        "header_parts",
         "headers",
         "is_in_message",
         "method",
@@ -112,10 +113,10 @@
         self.should_keep_alive = True
         self.url = b""
         self.headers: dict[bytes, bytes] = {}  # the headers that the proxy reads, by lower-case name
-        # These two are single buffers, because each part of a message would take a hundred bytes as an object
-        # of its own, and a client may send parts of one byte.
-        self.header_lines = bytearray()  # of the forwarded headers, each with its CRLF
-        self.body = bytearray()
+        # Only a few parts are kept as objects of their own, because one of a single byte takes fifty, and a
+        # client may send thousands of them.
+        self.header_parts: list[bytes] = []  # name, separator, value and CRLF of each forwarded header
+        self.body: bytes | bytearray = b""  # a bytearray if it came in several parts
         self.head_bytes = 0
         self._has_framing_header = False
         self._is_in_trailer = False
@@ -139,9 +140,10 @@
         if http is None:
             return True
         try:
-            for part in parts_of(data):
+            for part in (data,) if len(data) <= MAX_PART_BYTES else parts_of(data):
                 http.feed_data(part)
-                self._meter.count(len(part), self.head_bytes, len(self.body))
+                if self.is_in_message or not self._meter.has_boundary:  # most requests are complete here
+                    self._meter.count(len(part), self.head_bytes, len(self.body))
         except httptools.HttpParserUpgrade:
             return False
         except MessageTooLong as error:
@@ -183,16 +185,22 @@
             if key in self.headers:
                 raise FatalRequestError(Status.BAD_REQUEST, f"header {key.decode()} more than once")
             self.headers[key] = value
-        elif key in FRAMING_HEADERS:
+            if key == EXPIRES_IN_HEADER:
+                return
+        elif key in CONNECTION_HEADERS:
+            self._on_connection_header(key, value)
+            return
+        parts = self.header_parts
+        parts += (name, b": ", value, b"\r\n")
+        if len(parts) > MAX_HEADER_PARTS:
+            self.header_parts = [b"".join(parts)]
+
+    def _on_connection_header(self, key: bytes, value: bytes) -> None:
+        """Check a header that applies only to the client's connection, and keep it if it needs an answer."""
+        if key in FRAMING_HEADERS:
             self._check_framing(key, value)
         elif key == EXPECT:
             self.headers[key] = value
-        if key not in NON_FORWARDED_HEADERS:
-            header_lines = self.header_lines
-            header_lines += name
-            header_lines += b": "
-            header_lines += value
-            header_lines += b"\r\n"
 
     def _check_framing(self, key: bytes, value: bytes) -> None:
         """Raise `FatalRequestError` if the framing headers are ambiguous or the body is too long.
@@ -219,7 +227,14 @@
 
     def on_body(self, part: bytes) -> None:
         """Called with each part of the body; for a chunked body, without the chunk framing."""
-        self.body += part
+        body = self.body
+        if not body:
+            self.body = part
+        elif isinstance(body, bytearray):
+            body += part
+        else:
+            self.body = bytearray(body)
+            self.body += part
         if len(self.body) > MAX_BODY_BYTES:
             raise _body_too_long()
 
@@ -238,8 +253,8 @@
         """Discard the parts of the message, so that the connection holds none of them while it is idle."""
         self.url = b""
         self.headers = {}
-        self.header_lines = bytearray()
-        self.body = bytearray()
+        self.header_parts = []
+        self.body = b""
         self.head_bytes = 0
         self._has_framing_header = False
         self._is_in_trailer = False
--- a/yardlane/proxy/request_validation.py
+++ b/yardlane/proxy/request_validation.py
@@ -80,7 +80,7 @@
     is_retry: bool
     is_write: bool
     head: bytes
-    body: bytearray
+    body: bytes
 
 
 class QuotaInfo(NamedTuple):
@@ -184,8 +184,8 @@
         quota_info.gateway_count,
         headers.get(RETRY_HEADER) == b"1",
         method != b"GET",
-        b"".join((method, b" ", parser.url, b" HTTP/1.1\r\n", parser.header_lines)),
-        parser.body,
+        b"".join((method, b" ", parser.url, b" HTTP/1.1\r\n", *parser.header_parts)),
+        bytes(parser.body),
     )
 
 
--- a/yardlane/proxy/response.py
+++ b/yardlane/proxy/response.py
@@ -6,7 +6,7 @@
 
 from yardlane.decisions.events import LoadReport, Outcome
 from yardlane.errors import MalformedResponse, MessageTooLong
-from yardlane.proxy.message_meter import MAX_HEAD_BYTES, MessageMeter, parts_of
+from yardlane.proxy.message_meter import MAX_HEAD_BYTES, MAX_PART_BYTES, MessageMeter, parts_of
 from yardlane.settings_reader import LOAD_REPORT_FIELDS
 
 # A response beyond one of these limits, or those of `MessageMeter`, is malformed: its attempt ends as
@@ -91,7 +91,8 @@
     """
     if len(text) > MAX_LOAD_REPORT_BYTES:
         return None
-    metrics: dict[str, float] = {}
+    has_valid_metric = False
+    values: dict[str, float] = {}
     for part in text.decode("latin-1").removeprefix(LOAD_REPORT_FORMAT).split(","):
         name, _, value = part.partition("=")
         name = name.strip()
@@ -100,12 +101,11 @@
         except ValueError:
             continue
         if 0 <= number <= MAX_METRIC_VALUES.get(name, UNKNOWN_METRIC_MAX):
-            metrics[name] = number
-    if not metrics:
-        return None
-    return LoadReport(
-        **{LOAD_METRIC_FIELDS[name]: number for name, number in metrics.items() if name in LOAD_METRIC_FIELDS}
-    )
+            has_valid_metric = True
+            field = LOAD_METRIC_FIELDS.get(name)
+            if field is not None:
+                values[field] = number
+    return LoadReport(**values) if has_valid_metric else None
 
 
 class ResponseReader:
@@ -114,8 +114,9 @@
     def __init__(self) -> None:
         self.parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self.response = NO_RESPONSE  # until a response begins
-        # A single buffer, because each part would take a hundred bytes as an object of its own.
-        self.body = bytearray()
+        # A bytearray if it came in several parts. As objects of their own, parts of one byte would take fifty
+        # bytes each.
+        self.body: bytes | bytearray = b""
         self.head_bytes = 0  # of the names and values of all headers
         self._meter = MessageMeter()
         self.interim_count = 0
@@ -132,9 +133,10 @@
         parser = self.parser
         assert parser is not None
         try:
-            for part in parts_of(data):
+            for part in (data,) if len(data) <= MAX_PART_BYTES else parts_of(data):
                 parser.feed_data(part)
-                self._meter.count(len(part), self.head_bytes, len(self.body))
+                if self.is_receiving or not self._meter.has_boundary:  # most responses are complete here
+                    self._meter.count(len(part), self.head_bytes, len(self.body))
         except MessageTooLong as error:
             raise MalformedResponse(str(error)) from error
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -162,7 +164,7 @@
             raise MalformedResponse("more than one response to a request")
         self._meter.has_boundary = True
         self.response = UpstreamResponse()
-        self.body = bytearray()
+        self.body = b""
         self.head_bytes = 0
         self.is_receiving = True
 
@@ -191,7 +193,14 @@
 
     def on_body(self, body: bytes) -> None:
         """Called for each part of the body; raises `MalformedResponse` if the body exceeds its limit."""
-        self.body += body
+        received = self.body
+        if not received:
+            self.body = body
+        elif isinstance(received, bytearray):
+            received += body
+        else:
+            self.body = bytearray(received)
+            self.body += body
         if len(self.body) > MAX_BODY_BYTES:
             raise MalformedResponse(f"response body over {MAX_BODY_BYTES} bytes")
 
@@ -206,7 +215,7 @@
             return
         self.response.status = status
         self.response.body = bytes(self.body)
-        self.body = bytearray()
+        self.body = b""
         self.interim_count = 0
         self.is_complete = True
         self.keep_alive = self.parser.should_keep_alive()  # valid only during this callback
