--- a/tests/proxy/test_request_limits.py
+++ b/tests/proxy/test_request_limits.py
@@ -27,8 +27,9 @@
 )
 from yardlane.errors import FatalRequestError
 from yardlane.proxy.client_response import Status
+from yardlane.proxy.message_body import MAX_BODY_BYTES
 from yardlane.proxy.message_meter import MAX_HEAD_BYTES
-from yardlane.proxy.request_parser import MAX_BODY_BYTES, RequestParser
+from yardlane.proxy.request_parser import RequestParser
 
 HEAD = b"POST / HTTP/1.1\r\n"
 CHUNKED_HEAD = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
--- a/tests/proxy/test_response_limits.py
+++ b/tests/proxy/test_response_limits.py
@@ -21,8 +21,9 @@
 )
 from tests.upstream_side import forward, until_state
 from yardlane.errors import MalformedResponse
+from yardlane.proxy.message_body import MAX_BODY_BYTES
 from yardlane.proxy.message_meter import MAX_HEAD_BYTES
-from yardlane.proxy.response import MAX_BODY_BYTES, NO_RESPONSE, ResponseReader
+from yardlane.proxy.response import NO_RESPONSE, ResponseReader
 from yardlane.proxy.upstream_state import UpstreamState
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
--- a/yardlane/proxy/request_parser.py
+++ b/yardlane/proxy/request_parser.py
@@ -15,14 +15,15 @@
 
 from yardlane.errors import ClientProtocolError, FatalRequestError, MessageTooLong
 from yardlane.proxy.client_response import Status
+from yardlane.proxy.message_body import MAX_BODY_BYTES, Body, append_part
 from yardlane.proxy.message_meter import MAX_HEAD_BYTES, MAX_PART_BYTES, MessageMeter, parts_of
 
 log = logging.getLogger("yardlane.proxy.request_parser")
 
-MAX_BODY_BYTES = 65_536
 MAX_BODY_LENGTH_DIGITS = len(str(MAX_BODY_BYTES))  # of a Content-Length without its leading zeros
 HEADER_LINE_EXTRA_BYTES = 4  # the colon, the space and the CRLF
-MAX_HEADER_PARTS = 256  # four for each header; more are joined
+# Four for each header. More are joined, because as an object of its own, a part takes fifty bytes and more.
+MAX_HEADER_PARTS = 256
 
 CONTENT_LENGTH = b"content-length"
 TRANSFER_ENCODING = b"transfer-encoding"
@@ -113,10 +114,8 @@
         self.should_keep_alive = True
         self.url = b""
         self.headers: dict[bytes, bytes] = {}  # the headers that the proxy reads, by lower-case name
-        # Only a few parts are kept as objects of their own, because one of a single byte takes fifty, and a
-        # client may send thousands of them.
         self.header_parts: list[bytes] = []  # name, separator, value and CRLF of each forwarded header
-        self.body: bytes | bytearray = b""  # a bytearray if it came in several parts
+        self.body: Body = b""
         self.head_bytes = 0
         self._has_framing_header = False
         self._is_in_trailer = False
@@ -227,14 +226,7 @@
 
     def on_body(self, part: bytes) -> None:
         """Called with each part of the body; for a chunked body, without the chunk framing."""
-        body = self.body
-        if not body:
-            self.body = part
-        elif isinstance(body, bytearray):
-            body += part
-        else:
-            self.body = bytearray(body)
-            self.body += part
+        self.body = append_part(self.body, part)
         if len(self.body) > MAX_BODY_BYTES:
             raise _body_too_long()
 
--- a/yardlane/proxy/response.py
+++ b/yardlane/proxy/response.py
@@ -6,12 +6,12 @@
 
 from yardlane.decisions.events import LoadReport, Outcome
 from yardlane.errors import MalformedResponse, MessageTooLong
+from yardlane.proxy.message_body import MAX_BODY_BYTES, Body, append_part
 from yardlane.proxy.message_meter import MAX_HEAD_BYTES, MAX_PART_BYTES, MessageMeter, parts_of
 from yardlane.settings_reader import LOAD_REPORT_FIELDS
 
-# A response beyond one of these limits, or those of `MessageMeter`, is malformed: its attempt ends as
-# CONNECTION_LOST.
-MAX_BODY_BYTES = 65_536
+# A response that exceeds this limit, `MAX_BODY_BYTES` or a limit of `MessageMeter` is malformed: its attempt
+# ends as CONNECTION_LOST.
 MAX_INTERIM_RESPONSES = 16  # 1xx responses before the final one
 # A longer load report is ignored. Parsing one takes up to a microsecond for each byte.
 MAX_LOAD_REPORT_BYTES = 1_024
@@ -114,9 +114,7 @@
     def __init__(self) -> None:
         self.parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self.response = NO_RESPONSE  # until a response begins
-        # A bytearray if it came in several parts. As objects of their own, parts of one byte would take fifty
-        # bytes each.
-        self.body: bytes | bytearray = b""
+        self.body: Body = b""
         self.head_bytes = 0  # of the names and values of all headers
         self._meter = MessageMeter()
         self.interim_count = 0
@@ -193,14 +191,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Called for each part of the body; raises `MalformedResponse` if the body exceeds its limit."""
-        received = self.body
-        if not received:
-            self.body = body
-        elif isinstance(received, bytearray):
-            received += body
-        else:
-            self.body = bytearray(received)
-            self.body += body
+        self.body = append_part(self.body, body)
         if len(self.body) > MAX_BODY_BYTES:
             raise MalformedResponse(f"response body over {MAX_BODY_BYTES} bytes")
 
