--- a/yardlane/proxy/request_parser.py
+++ b/yardlane/proxy/request_parser.py
@@ -17,6 +17,14 @@
 from yardlane.proxy.client_response import Status
 from yardlane.proxy.message_body import MAX_BODY_BYTES, Body, append_part
 from yardlane.proxy.message_meter import MAX_HEAD_BYTES, MAX_PART_BYTES, MessageMeter, parts_of
+from yardlane.proxy.request_headers import (
+    CONNECTION_HEADERS,
+    EXPECT,
+    EXPIRES_IN_HEADER,
+    FRAMING_HEADERS,
+    SINGLETON_HEADERS,
+    TRANSFER_ENCODING,
+)
 
 log = logging.getLogger("yardlane.proxy.request_parser")
 
@@ -25,50 +33,6 @@
 # Four for each header. More are joined, because as an object of its own, a part takes fifty bytes and more.
 MAX_HEADER_PARTS = 256
 
-CONTENT_LENGTH = b"content-length"
-TRANSFER_ENCODING = b"transfer-encoding"
-EXPECT = b"expect"
-FRAMING_HEADERS = frozenset((CONTENT_LENGTH, TRANSFER_ENCODING))
-# The headers that describe a request. `request_validation` checks them and fills in `ParsedRequest`.
-TRACE_ID_HEADER = b"x-trace-id"
-REQUEST_CLASS_HEADER = b"x-qos"
-QUOTA_PLAN_HEADER = b"plan"
-TENANT_HEADER = b"account"
-EXPIRES_IN_HEADER = b"x-expires-in"
-IDEMPOTENCY_KEY_HEADER = b"idempotency-key"
-QUOTA_INFO_HEADER = b"quota-info"
-RETRY_HEADER = b"x-second-try"
-HOST_HEADER = b"host"
-# Headers that a request may contain only once.
-SINGLETON_HEADERS = frozenset(
-    (
-        TRACE_ID_HEADER,
-        REQUEST_CLASS_HEADER,
-        QUOTA_PLAN_HEADER,
-        TENANT_HEADER,
-        EXPIRES_IN_HEADER,
-        IDEMPOTENCY_KEY_HEADER,
-        QUOTA_INFO_HEADER,
-        RETRY_HEADER,
-        HOST_HEADER,
-    )
-)
-# Headers that apply only to the client's connection. They are not forwarded, and neither is
-# EXPIRES_IN_HEADER, which the proxy writes itself.
-CONNECTION_HEADERS = frozenset(
-    (
-        b"connection",
-        b"keep-alive",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        TRANSFER_ENCODING,
-        b"upgrade",
-        CONTENT_LENGTH,
-        EXPECT,
-    )
-)
-
 
 class RequestReceiver(Protocol):
     """Receives the notifications of a `RequestParser`."""
--- a/yardlane/proxy/request_validation.py
+++ b/yardlane/proxy/request_validation.py
@@ -25,7 +25,7 @@
 from yardlane.decisions.settings import Idempotency, QuotaPlan, RequestClass
 from yardlane.errors import InvalidRequest
 from yardlane.proxy.client_response import Status
-from yardlane.proxy.request_parser import (
+from yardlane.proxy.request_headers import (
     EXPIRES_IN_HEADER,
     HOST_HEADER,
     IDEMPOTENCY_KEY_HEADER,
@@ -35,8 +35,8 @@
     RETRY_HEADER,
     TENANT_HEADER,
     TRACE_ID_HEADER,
-    RequestParser,
 )
+from yardlane.proxy.request_parser import RequestParser
 from yardlane.units import US_PER_MS
 
 MAX_EXPIRES_IN_US = 3_600_000_000  # one hour; a request with a longer time is invalid
