Discard every message at its end, and write the short-read check and chunk cases once

- on_message_begin no longer discards the earlier message, but on_message_complete returned before it did if the parser had been closed.
The headers of the next pipelined request would then have counted as repeated.
No caller closes the parser while it reads, so no client saw it.
The new test failed before.

--- a/tests/proxy/message_cuts.py
+++ b/tests/proxy/message_cuts.py
@@ -13,6 +13,19 @@
 READ_SIZES = (7, 1000, 65_536, 250_000)  # in bytes; the event loop reads at most 256,000 at once
 
 
+# What is repeated without an end after a chunked head, as the beginning and the repeated part.
+ENDLESS_CHUNKS = {
+    "chunk size": (b"", b"0"),
+    "chunk extension": (b"1;a=", b"a"),
+    "extensions of chunks of one byte": (b"", b"1;" + b"a" * 1000 + b"\r\nx\r\n"),
+}
+
+
+def endless_chunks_after(chunked_head: bytes) -> dict[str, tuple[bytes, bytes]]:
+    """Return `ENDLESS_CHUNKS`, each with `chunked_head` before its beginning."""
+    return {name: (chunked_head + start, filler) for name, (start, filler) in ENDLESS_CHUNKS.items()}
+
+
 def endless(start: bytes, filler: bytes, read_bytes: int) -> Iterator[bytes]:
     """Return the reads of a message that begins with `start` and then repeats `filler` without an end."""
     yield start
--- a/tests/proxy/test_discovery_connection.py
+++ b/tests/proxy/test_discovery_connection.py
@@ -7,7 +7,7 @@
 
 from tests.discovery_responses import CHUNKED_RESPONSE_HEAD
 from tests.loopback import FakeServer, make_response, read_message, uvloop_test
-from tests.proxy.message_cuts import MAX_TAKEN_BYTES, READ_SIZES, endless, taken_before
+from tests.proxy.message_cuts import MAX_TAKEN_BYTES, READ_SIZES, endless, endless_chunks_after, taken_before
 from yardlane.errors import DiscoveryError, DiscoveryUnreachable
 from yardlane.proxy.discovery_connection import DiscoveryConnection
 from yardlane.proxy.message_meter import MAX_HEAD_BYTES
@@ -40,9 +40,7 @@
     "header name": (HEAD, b"a"),
     "header value": (HEAD + b"a: ", b"a"),
     "headers": (HEAD, b"a: b\r\n"),
-    "chunk size": (CHUNKED_RESPONSE_HEAD, b"0"),
-    "chunk extension": (CHUNKED_RESPONSE_HEAD + b"1;a=", b"a"),
-    "extensions of chunks of one byte": (CHUNKED_RESPONSE_HEAD, b"1;" + b"a" * 1000 + b"\r\nx\r\n"),
+    **endless_chunks_after(CHUNKED_RESPONSE_HEAD),
     "trailer value": (CHUNKED_RESPONSE_HEAD + b"0\r\na: ", b"a"),
     "trailers": (CHUNKED_RESPONSE_HEAD + b"0\r\n", b"a: b\r\n"),
 }
--- a/tests/proxy/test_request_limits.py
+++ b/tests/proxy/test_request_limits.py
@@ -21,6 +21,7 @@
     READ_SIZES,
     chunked,
     endless,
+    endless_chunks_after,
     peak_bytes_of,
     split,
     taken_before,
@@ -43,10 +44,8 @@
     "space after a header value": (HEAD + b"X-Padding: a", b" "),
     "headers": (HEAD, b"aa:\r\n"),
     "headers of mostly spaces": (HEAD, b"a:" + b" " * 500 + b"b\r\n"),
-    "chunk size": (CHUNKED_HEAD, b"0"),
-    "chunk extension": (CHUNKED_HEAD + b"1;a=", b"a"),
+    **endless_chunks_after(CHUNKED_HEAD),
     "chunk extension behind a body": (CHUNKED_HEAD + b"8000\r\n" + b"x" * 32_768 + b"\r\n1;a=", b"a"),
-    "extensions of chunks of one byte": (CHUNKED_HEAD, b"1;" + b"a" * 1000 + b"\r\nx\r\n"),
     "trailer name": (CHUNKED_HEAD + b"0\r\n", b"a"),
     "trailer value": (CHUNKED_HEAD + b"0\r\nX-Padding: ", b"a"),
     "trailer value behind a body": (CHUNKED_HEAD + b"8000\r\n" + b"x" * 32_768 + b"\r\n0\r\na: ", b"a"),
@@ -166,6 +165,19 @@
     assert not caplog.records
 
 
+def test_message_that_ends_after_the_parser_is_closed_is_discarded() -> None:
+    """The parser is closed while it reads pipelined requests. If the rest of the first one were kept, the
+    second would be refused for headers that it has only once."""
+    parser = RequestParser(RequestSink())
+    request = make_request()
+    parser.feed(request[:-2])
+    http = parser._http
+    assert http is not None
+    parser.close()
+    http.feed_data(request[-2:] + request)
+    assert (parser.url, parser.header_parts, parser.headers) == (b"", [], {})
+
+
 def test_requests_are_parsed_alike_however_they_are_cut() -> None:
     """The limits are applied to parts of a read. They must neither refuse a request that is within them nor
     change what is read, wherever the reads and their parts begin and end."""
@@ -174,7 +186,8 @@
         requests = [generator.choice(list(LONGEST_REQUESTS.values()))[0] for _ in range(3)]
         requests.insert(generator.randrange(4), HEAD + b"Content-Length: 5\r\nX-Note: a b\r\n\r\nhello")
         stream = b"".join(requests)
-        whole, cut = RecordingReceiver(), RecordingReceiver()
+        whole = RecordingReceiver()
+        cut = RecordingReceiver()
         for request in requests:
             whole.parser.feed(request)
         position = 0
--- a/yardlane/proxy/message_meter.py
+++ b/yardlane/proxy/message_meter.py
@@ -9,8 +9,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-
 from yardlane.errors import MessageTooLong
 
 MAX_HEAD_BYTES = 16_384  # of the target or status line, the header lines and the trailer lines
@@ -65,9 +63,7 @@
             raise MessageTooLong(f"over {max_message_bytes} bytes for a body of {body_bytes} bytes")
 
 
-def parts_of(data: bytes) -> Iterable[bytes | memoryview]:
+def parts_of(data: bytes) -> list[memoryview]:
     """Return `data` in parts of at most `MAX_PART_BYTES`, without copying it."""
-    if len(data) <= MAX_PART_BYTES:
-        return (data,)
     view = memoryview(data)
     return [view[start : start + MAX_PART_BYTES] for start in range(0, len(data), MAX_PART_BYTES)]
--- a/yardlane/proxy/request_parser.py
+++ b/yardlane/proxy/request_parser.py
@@ -198,11 +198,10 @@
         """Called at the last byte of a message; passes the request to the receiver."""
         self._meter.has_boundary = True
         self.is_in_message = False
-        if self._http is None or self._receiver is None:
-            return
-        self.method = self._http.get_method()
-        self.should_keep_alive = self._http.should_keep_alive()  # only valid during this call
-        self._receiver.on_request()
+        if self._http is not None and self._receiver is not None:
+            self.method = self._http.get_method()
+            self.should_keep_alive = self._http.should_keep_alive()  # only valid during this call
+            self._receiver.on_request()
         self._discard_message()
 
     def _discard_message(self) -> None:
