Read lists of discovery without a length, which end with their connection

Cause: such a body ends with its connection. httptools cannot be told that the connection has ended, and DiscoveryConnection had no eof_received, so every orderly end failed the request in connection_lost.

On real sockets, uvloop calls eof_received only after a FIN, and connection_lost with an error after a reset, also if the reset arrives in one iteration with the bytes before it.

Change: response_framing.py has the rule (head complete, no framing header, orderly end). A list that is cut short is not JSON and fails its poll.

--- a/tests/proxy/test_discovery_timing.py
+++ b/tests/proxy/test_discovery_timing.py
@@ -12,7 +12,13 @@
 
 import pytest
 
-from tests.discovery_responses import CHUNKED_RESPONSE_HEAD, snapshot_response
+from tests.discovery_responses import (
+    CHUNKED_RESPONSE_HEAD,
+    delta_body,
+    response_without_length,
+    snapshot_body,
+    snapshot_response,
+)
 from tests.loopback import (
     TEST_TIMEOUT_S,
     FakeServer,
@@ -42,6 +48,9 @@
 DRAIN_GRACES_US = [0, 50_000, 1_000_000, 60_000_000]
 WATCH_TIMEOUT_S = WATCH_TIMEOUT_MS / 1000
 RECOVERY_WATCH_TIMEOUT_S = RECOVERY_WATCH_TIMEOUT_MS / 1000
+# A watch continues if the next call comes within this time of the last response (protocol page).
+MAX_PAUSE_OF_A_WATCH_S = 0.2
+EVENT_LOOP_TURNS = 20
 
 
 @pytest.mark.parametrize("grace_us", DRAIN_GRACES_US)
@@ -194,6 +203,27 @@
     return INITIAL_BACKOFF_S
 
 
+async def silent_watch_after_list_without_length(harness: ManualClockHarness) -> float:
+    """The last response had nothing new and ended with its connection; the watch after it connects late."""
+    _, writer = await harness.establish_watch()
+    writer.write(response_without_length(delta_body(41)))
+    writer.close()
+    await harness.accept_slow_poll(INITIAL_BACKOFF_S)
+    harness.changed_at_s = harness.loop.now_s - INITIAL_BACKOFF_S
+    harness.loop.now_s += WATCH_TIMEOUT_S + harness.response_timeout_s
+    await harness.wait_for_poll_failure()
+    return INITIAL_BACKOFF_S
+
+
+async def endless_watch_response_without_length(harness: ManualClockHarness) -> float:
+    """The whole list arrives without a length, then single bytes, and the connection never ends."""
+    _, writer = await harness.establish_watch()
+    writer.write(response_without_length(snapshot_body(42, member_dict("s-1", 9))))
+    await harness.send_slowly(writer, WATCH_TIMEOUT_S + harness.response_timeout_s)
+    await harness.wait_for_poll_failure()
+    return INITIAL_BACKOFF_S
+
+
 async def watch_reset(harness: ManualClockHarness) -> float:
     _, writer = await harness.establish_watch()
     writer.transport.abort()
@@ -274,7 +304,9 @@
 
 SCENARIOS: list[tuple[str, Callable[[ManualClockHarness], Awaitable[float]]]] = [
     ("silent watch", silent_watch),
+    ("silent watch", silent_watch_after_list_without_length),
     ("partial watch response", partial_watch_response),
+    ("partial watch response", endless_watch_response_without_length),
     ("watch reset", watch_reset),
     ("refused", refused),
     ("never connected", never_connected),
@@ -322,6 +354,39 @@
     run_on_manual_clock(run_scenario)
 
 
+@pytest.mark.parametrize("has_news", [True, False], ids=["news", "nothing new"])
+def test_watch_follows_a_list_without_length_as_soon_as_one_with_a_length(has_news: bool) -> None:
+    """Each response of discovery ends with its connection, so the next watch needs a new one.
+
+    Discovery counts a watch that comes more than 200 ms after the last response as a new one.
+    """
+
+    async def run_scenario(loop: ManualClockLoop) -> None:
+        async with FakeServer() as discovery:
+            harness = ManualClockHarness(loop, discovery, DRAIN_GRACES_US[-1])
+            _, writer = await harness.establish_watch()
+            loop.connect_requested.clear()
+            writer.write(
+                response_without_length(delta_body(42, member_dict("s-1", 9)) if has_news else delta_body(41))
+            )
+            writer.close()
+            if has_news:
+                await loop.connect_requested.wait()
+            else:
+                for _ in range(EVENT_LOOP_TURNS):
+                    await asyncio.sleep(0)
+                assert not loop.connect_requested.is_set()
+                loop.now_s += INITIAL_BACKOFF_S
+                await loop.connect_requested.wait()
+            delay_s = loop.now_s - harness.changed_at_s
+            assert delay_s <= MAX_PAUSE_OF_A_WATCH_S
+            reader, _ = await discovery.accept_connection()
+            assert f"index={42 if has_news else 41}&" in (await read_message(reader))[0]
+            harness.client.stop()
+
+    run_on_manual_clock(run_scenario)
+
+
 def test_every_state_has_a_scenario() -> None:
     assert {state for state, _ in SCENARIOS} | {"start"} == set(worst_case_notification_delays_us(0))
 
--- a/yardlane/proxy/discovery_connection.py
+++ b/yardlane/proxy/discovery_connection.py
@@ -10,6 +10,7 @@
 from yardlane.config import Address
 from yardlane.errors import DiscoveryError, DiscoveryUnreachable, MessageTooLong
 from yardlane.proxy.message_meter import MessageMeter, parts_of
+from yardlane.proxy.response_framing import ResponseFraming
 
 MAX_BODY_BYTES = 8_000_000
 HTTP_OK = 200
@@ -21,6 +22,9 @@
     A request fails with DiscoveryUnreachable if the connection ends before the response is complete. It fails
     with DiscoveryError if the response is not valid HTTP, has a status other than 200, has a body of more
     than `MAX_BODY_BYTES`, or exceeds the limits of `MessageMeter`. Either error closes the connection.
+
+    An orderly end of the connection completes a response without a length. Such a response may have been cut
+    short, so the caller has to check its body.
     """
 
     def __init__(self, address: Address) -> None:
@@ -34,6 +38,7 @@
         self.body = bytearray()
         # Interim responses count together with the final one, because a request may get any number of them.
         self.meter = MessageMeter()
+        self.framing = ResponseFraming()
 
     def get(self, path: bytes) -> asyncio.Future[bytearray]:
         """Send a GET request and return a future for the body of its response.
@@ -70,10 +75,23 @@
         # A cast, as uvloop's transport class is not derived from asyncio.Transport.
         self.transport = cast(asyncio.Transport, transport)
 
+    def eof_received(self) -> None:
+        """Called when discovery has closed its side in order; the transport then closes the connection.
+
+        This completes a response whose body ends with the connection. A reset does not: the transport reports
+        it to `connection_lost` alone.
+        """
+        if self.framing.ends_with_connection():
+            self.on_message_complete()
+
     def connection_lost(self, exc: Exception | None) -> None:
-        """Called when the connection has ended, on either side; fails a pending request."""
+        """Called when the connection has ended, on either side; fails a pending request.
+
+        `exc` is the network error, such as a reset, or None after an orderly end.
+        """
         self.transport = None
-        self._fail(DiscoveryUnreachable("connection ended before the response was complete"))
+        reason = "ended" if exc is None else f"failed ({exc})"
+        self._fail(DiscoveryUnreachable(f"connection {reason} before the response was complete"))
 
     def data_received(self, data: bytes) -> None:
         """Called when data arrives; parses it as a response, and fails the request if it is malformed."""
@@ -89,6 +107,18 @@
 
     # Called by the parser
 
+    def on_message_begin(self) -> None:
+        """Called when a response begins."""
+        self.framing.begin()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Called for each header; only those that say where the body ends matter."""
+        self.framing.on_header(name.lower())
+
+    def on_headers_complete(self) -> None:
+        """Called at the end of a head."""
+        self.framing.is_in_body = True
+
     def on_body(self, body: bytes) -> None:
         """Called with a part of the body; appends it to the buffer.
 
@@ -104,6 +134,7 @@
         An informational response (1xx) is skipped, because the final response follows it. Any other status
         than 200 fails the request.
         """
+        self.framing.is_in_body = False
         status = self.parser.get_status_code()
         if status < HTTP_OK:
             return
