Forward responses of upstreams without a length, which end with their connection

A non-idempotent request that had run got 502, an idempotent one ran again.

Change: eof_received completes the response by the rule of response_framing.py. Resets, ends within a head, a known length or a chunk, and unknown transfer codings end the attempt as before.

--- a/tests/proxy/test_response_endings.py
+++ b/tests/proxy/test_response_endings.py
@@ -1,4 +1,4 @@
-"""Tests which ends of a connection complete a response, on real sockets.
+"""Tests which ends of a connection complete a response, for both readers of responses, on real sockets.
 
 Each form of a response is cut after every byte, and the connection then ends in order (FIN) or by a reset. A
 seeded random number generator decides whether the end arrives in the same iteration of the event loop as the
@@ -15,13 +15,23 @@
 import pytest
 
 from tests.loopback import (
+    endpoint_list_dict,
+    make_config,
+    make_request,
+    member_dict,
+    read_message,
+    running_server,
+    settings_dict,
     uvloop_test,
     wait_until,
 )
 from tests.raw_sockets import End, RawListener, write_and_end
 from yardlane.decisions.events import Outcome
 from yardlane.errors import DiscoveryError, DiscoveryUnreachable
+from yardlane.proxy.attempt import Attempt
 from yardlane.proxy.discovery_connection import DiscoveryConnection
+from yardlane.proxy.response import UpstreamResponse
+from yardlane.proxy.upstream_pool import UpstreamPool
 
 SEED = 10
 BODY = b'{"a": [1, 2]}'
@@ -101,6 +111,41 @@
 CUTS = [pytest.param(form, end, id=f"{name}, {end.value}") for name, form in FORMS.items() for end in End]
 
 
+@pytest.mark.parametrize(("form", "end"), CUTS)
+def test_only_a_whole_response_of_an_upstream_ends_its_attempt_with_it(form: Form, end: End) -> None:
+    """An upstream closes or resets the connection after any byte of a response.
+
+    Whole responses without a length were thrown away, so that requests that had run failed or ran again. A
+    reset response that counted as whole would give the client a part of its answer.
+    """
+    rng = random.Random(SEED)
+
+    @uvloop_test
+    async def run() -> None:
+        pool = UpstreamPool(make_config(), 8, asyncio.get_running_loop())
+        with RawListener() as upstream:
+            ends: list[tuple[Outcome, UpstreamResponse | None]] = []
+            for cut in range(len(form.written) + 1):
+                ends.clear()
+                attempt = Attempt(
+                    1, 0, b"s-1", 0, lambda _, outcome, response: ends.append((outcome, response))
+                )
+                attempt.address = upstream.address
+                attempt.request_bytes = make_request()
+                pool.send(attempt)
+                peer = await upstream.accept_request()
+                await write_and_end(peer, form.written[:cut], end, rng.random() < 0.5)
+                await wait_until(lambda: ends)
+                [(outcome, response)] = ends
+                body = form.body_after(cut, end)
+                seen = None if response is None else (response.status, response.body)
+                assert seen == (None if body is None else (form.status, body)), cut
+                assert outcome is (Outcome.CONNECTION_LOST if body is None else form.outcome), cut
+                await wait_until(lambda: not pool.connections)
+
+    run()
+
+
 async def connect(discovery: RawListener) -> DiscoveryConnection:
     """Return an established connection to a fake discovery."""
     connection = DiscoveryConnection(discovery.address)
@@ -175,3 +220,32 @@
     run()
     ending = [ConnectionResetError] if end is End.RESET else ["eof_received", type(None)]
     assert calls == ([data] if data else []) + ending
+
+
+@pytest.mark.parametrize(("kind", "repeat"), [("look", "free"), ("file", "single_shot")])
+def test_response_without_length_reaches_its_client_and_the_request_runs_once(kind: str, repeat: str) -> None:
+    """A backend's response has no length and comes whole, with an orderly end of its connection.
+
+    The client of a non-idempotent request was told that it failed, although it had run; any other request
+    ran again at the next backend.
+    """
+    profiles = [{**profile, "repeat": repeat} for profile in settings_dict()["profiles"]]
+
+    @uvloop_test
+    async def run() -> None:
+        with RawListener() as one, RawListener() as two:
+            known = endpoint_list_dict(member_dict("s-1", one.address[1]), member_dict("s-2", two.address[1]))
+            async with running_server(settings=settings_dict(profiles=profiles), known=known) as server:
+                client, to_server = await server.connect_client()
+                to_server.write(make_request(kind, Idempotency_Key=None))
+                accepting = [asyncio.ensure_future(backend.accept_request()) for backend in (one, two)]
+                [accepted], [other] = await asyncio.wait(accepting, return_when=asyncio.FIRST_COMPLETED)
+                response = b"HTTP/1.1 200 X\r\nConnection: close\r\n\r\n" + BODY
+                await write_and_end(accepted.result(), response, End.FIN, has_pause=False)
+                line, _, body = await read_message(client)
+                assert (line.split()[1], body) == ("200", BODY)
+                await wait_until(lambda: not server.proxy.requests)
+                assert not other.done()
+                other.cancel()
+
+    run()
--- a/yardlane/proxy/response.py
+++ b/yardlane/proxy/response.py
@@ -8,6 +8,7 @@
 from yardlane.errors import MalformedResponse, MessageTooLong
 from yardlane.proxy.message_body import MAX_BODY_BYTES, Body, append_part
 from yardlane.proxy.message_meter import MAX_HEAD_BYTES, MAX_PART_BYTES, MessageMeter, parts_of
+from yardlane.proxy.response_framing import CONTENT_LENGTH, TRANSFER_ENCODING, ResponseFraming
 from yardlane.settings_reader import LOAD_REPORT_FIELDS
 
 # A response that exceeds this limit, `MAX_BODY_BYTES` or a limit of `MessageMeter` is malformed: its attempt
@@ -117,6 +118,7 @@
         self.body: Body = b""
         self.head_bytes = 0  # of the names and values of all headers
         self._meter = MessageMeter()
+        self._framing = ResponseFraming()
         self.interim_count = 0
         self.is_receiving = False  # a response has begun and is not complete
         self.is_complete = False  # the final response is complete; see `forget_response`
@@ -141,6 +143,15 @@
             cause = error.__context__ or error  # an exception from a callback is the context of this error
             raise MalformedResponse(str(cause)) from error
 
+    def end_connection(self) -> None:
+        """Complete the response if its body ends with the connection, which the upstream has closed in order.
+
+        Otherwise do nothing: the response is incomplete for good.
+        """
+        if self._framing.ends_with_connection():
+            self.on_message_complete()
+            self.keep_alive = False
+
     def forget_response(self) -> None:
         """Drop the final response, which has been passed on, and accept the response to the next request."""
         self.is_complete = False
@@ -161,6 +172,7 @@
         if self.is_complete:
             raise MalformedResponse("more than one response to a request")
         self._meter.has_boundary = True
+        self._framing.begin()
         self.response = UpstreamResponse()
         self.body = b""
         self.head_bytes = 0
@@ -175,7 +187,8 @@
         if self.head_bytes > MAX_HEAD_BYTES:
             raise MalformedResponse(f"response head over {MAX_HEAD_BYTES} bytes")
         key = name.lower()
-        if key == b"content-length":
+        if key == CONTENT_LENGTH:
+            self._framing.has_framing_header = True
             # Refuse a huge response by its head, rather than after reading its body up to the limit.
             if len(value) > MAX_NUMBER_DIGITS or int(value) > MAX_BODY_BYTES:
                 raise MalformedResponse(f"Content-Length announces a body over {MAX_BODY_BYTES} bytes")
@@ -188,6 +201,12 @@
             self.response.never_ran = value.strip() == b"1"
         elif key == b"content-type":
             self.response.content_type = value
+        elif key == TRANSFER_ENCODING:
+            self._framing.has_framing_header = True
+
+    def on_headers_complete(self) -> None:
+        """Called at the end of a head."""
+        self._framing.is_in_body = True
 
     def on_body(self, body: bytes) -> None:
         """Called for each part of the body; raises `MalformedResponse` if the body exceeds its limit."""
@@ -199,6 +218,7 @@
         """Called when a response is complete; stores it if it is the final one."""
         assert self.parser is not None
         self._meter.has_boundary = True
+        self._framing.is_in_body = False
         self.is_receiving = False
         status = self.parser.get_status_code()
         if status < FIRST_FINAL_STATUS:
--- a/yardlane/proxy/upstream_connection.py
+++ b/yardlane/proxy/upstream_connection.py
@@ -244,6 +244,13 @@
         if self.stall_timer is None:
             self.stall_timer = self.pool.loop.call_later(self.pool.stall_timeout_s, self._on_stalled)
 
+    def _on_response_ended(self, attempt: Attempt, reader: ResponseReader) -> None:
+        """Called when the final response is complete; ends the attempt with its outcome."""
+        self._apply(UpstreamEvent.RESPONSE_ENDED)
+        if not reader.keep_alive:
+            self.closes_after_response = True
+        attempt.finish(outcome_of(reader.response), reader.response)
+
     def _on_stalled(self) -> None:
         """Called if the final response is not complete when the stall timer expires; closes the connection.
 
@@ -328,6 +335,20 @@
             self.pool.reuse_policy.on_reuse_failed(self.idle_before_request_s)
         self._fail_connection()
 
+    def eof_received(self) -> None:
+        """Called when the upstream has closed its side in order; the transport then closes the connection.
+
+        This completes a response whose body ends with the connection. A reset does not: the transport reports
+        it to `connection_lost` alone.
+        """
+        attempt = self.attempt
+        reader = self.reader
+        if attempt is None or reader is None or self.state is not RECEIVING:
+            return
+        reader.end_connection()
+        if reader.is_complete:
+            self._on_response_ended(attempt, reader)
+
     def data_received(self, data: bytes) -> None:
         """Called when bytes have been received; they belong to the response or are unsolicited."""
         attempt = self.attempt
@@ -350,10 +371,7 @@
                 self._close_with_outcome(Outcome.CONNECTION_LOST)
                 return
         if reader.is_complete:
-            self._apply(UpstreamEvent.RESPONSE_ENDED)
-            if not reader.keep_alive:
-                self.closes_after_response = True
-            attempt.finish(outcome_of(reader.response), reader.response)
+            self._on_response_ended(attempt, reader)
         elif reader.is_receiving:
             self._on_response_begun()
         elif self.state is RECEIVING:
