Limit the bytes that clients make the process hold, over all connections

Callers saw: 300 clients that each sent four whole requests of 64 KB while the backends hung brought a front door to 103 MB, of 80 MB that its deployment allows (137 to 156 MB with 400 to 480 clients and 192 MB). The platform kills it for that, with all open requests.

Cause: each limit applied to one message or one connection, and nothing to their sum; memory_mb of the configuration was not read; a request that had ended was kept until its last attempt had.

Clients that stop within a large body or a head of short fields took 42 to 58 MB, so it is not these.

Change: client_memory.py counts unfinished requests, unread responses and pending large requests, each sum within a share of the memory limit.

--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -71,6 +71,8 @@
         ({"settings": settings_dict(), "limits": [256]}, "limits is [256]"),
         ({"settings": settings_dict(), "limits": {"sockets": -5}}, "limits.sockets is -5"),
         ({"settings": settings_dict(), "limits": {"sockets": "many"}}, "limits.sockets is 'many'"),
+        ({"settings": settings_dict(), "limits": {"memory_mb": -1}}, "limits.memory_mb is -1"),
+        ({"settings": settings_dict(), "limits": {"memory_mb": [9]}}, "limits.memory_mb is [9]"),
         ({"settings": settings_dict(packages=[{"refill": "nan"}])}, "packages.0.refill is not finite"),
         ({"settings": settings_dict(permissions={"max_attempts": 0})}, "permissions.max_attempts is 0"),
         (
--- a/yardlane/config.py
+++ b/yardlane/config.py
@@ -20,6 +20,7 @@
 
 MAX_PORT = 65_535
 DEFAULT_DESCRIPTORS = 1_024  # also used if limits.sockets is 0 or null
+DEFAULT_MEMORY_MB = 192  # also used if limits.memory_mb is 0 or null
 # These defaults are texts, as `SettingsReader` takes them.
 DEFAULT_CONNECT_TIMEOUT_US = "250000"
 DEFAULT_KEEPALIVE_US = "30000000"
@@ -43,6 +44,8 @@
     """The seed of the decider's random choices."""
     max_descriptors: int
     """The maximum number of file descriptors that the process may hold."""
+    memory_limit_mb: int
+    """The memory that the process may use; with more, the platform kills it."""
     cached_endpoint_list: object | None
     """The endpoint list that an earlier process had, as decoded JSON in discovery's format, or None."""
     settings: Settings
@@ -89,7 +92,11 @@
     counter = document.get("counter")
     if settings.has_shared_counter and not counter:
         raise ConfigError("counter is missing, but settings.family_info.shared_counter is true")
-    descriptors = _parse_descriptors(document.get("limits") or {})
+    limits = document.get("limits") or {}
+    if not isinstance(limits, dict):
+        raise ConfigError(f"limits is {limits!r}: must be a JSON object")
+    descriptors = _parse_limit(limits, "sockets", DEFAULT_DESCRIPTORS)
+    memory_limit_mb = _parse_limit(limits, "memory_mb", DEFAULT_MEMORY_MB)
     seed = _parse_seed(document.get("seed") or "0")
     return Config(
         listen=parse_address(document.get("listen"), "listen"),
@@ -97,6 +104,7 @@
         counter=parse_address(counter, "counter") if counter else None,
         seed=seed,
         max_descriptors=descriptors,
+        memory_limit_mb=memory_limit_mb,
         cached_endpoint_list=document.get("known"),
         settings=settings,
         request_class_names=_read_names(reader, "profiles", len(settings.request_classes)),
@@ -164,17 +172,16 @@
     return port if 0 < port <= MAX_PORT else None
 
 
-def _parse_descriptors(limits: object) -> int:
-    if not isinstance(limits, dict):
-        raise ConfigError(f"limits is {limits!r}: must be a JSON object")
-    value = limits.get("sockets") or DEFAULT_DESCRIPTORS
+def _parse_limit(limits: Mapping[str, Any], name: str, default: int) -> int:
+    """Return the limit `name` of the configuration, or the default if it is missing, 0 or null."""
+    value = limits.get(name) or default
     try:
-        descriptors = int(value)
+        limit = int(value)
     except (ValueError, TypeError, OverflowError):
-        raise ConfigError(f"limits.sockets is {value!r}: must be an integer") from None
-    if descriptors <= 0:
-        raise ConfigError(f"limits.sockets is {descriptors}: must be greater than 0")
-    return descriptors
+        raise ConfigError(f"limits.{name} is {value!r}: must be an integer") from None
+    if limit <= 0:
+        raise ConfigError(f"limits.{name} is {limit}: must be greater than 0")
+    return limit
 
 
 def _parse_seed(value: object) -> int:
--- a/yardlane/proxy/client_connection.py
+++ b/yardlane/proxy/client_connection.py
@@ -13,11 +13,12 @@
 from typing import Protocol, cast
 
 from yardlane.errors import FatalRequestError, InvalidRequest
+from yardlane.proxy.client_memory import ClientMemory
 from yardlane.proxy.client_request import ClientRequest, RequestHandler
 from yardlane.proxy.client_response import CONTINUE_RESPONSE, Status, encode_response
 from yardlane.proxy.client_state import TRANSITIONS, ClientEvent, ClientState
 from yardlane.proxy.request_parser import RequestParser
-from yardlane.proxy.request_validation import RequestRules, parse_request
+from yardlane.proxy.request_validation import ParsedRequest, RequestRules, parse_request
 from yardlane.proxy.socket_probe import SocketProbe
 
 log = logging.getLogger("yardlane.proxy.client_connection")
@@ -53,6 +54,7 @@
     handler: RequestHandler
     rules: RequestRules
     open_trace_ids: set[bytes]
+    memory: ClientMemory
     is_draining: bool
 
     def loop_time_s(self) -> float:
@@ -78,6 +80,7 @@
         self.pending: deque[ClientRequest] = deque()
         self.state = ClientState.ACCEPTED
         self.is_write_buffer_full = False
+        self.has_unfinished_request = False  # `ClientMemory` counts a part of a request
         self.has_received_request = False
         self.requests_in_read = 0
         # When the connection was accepted, a request was last answered, or CLOSING began.
@@ -101,6 +104,8 @@
         if new_state is old_state:
             return False
         self.state = new_state
+        if new_state is not OPEN:
+            self._discard_unfinished_request()
         if new_state is CLOSING or new_state is CLOSED:
             self.last_active_s = self.server.loop_time_s()
             self._release_pending()
@@ -114,11 +119,12 @@
         self.pending = deque()
         for request in released:
             if not request.response:
-                self._free_trace_id(request)
+                self._release_request(request)
                 self.server.handler.on_client_disconnected(request)
 
     def _on_closed(self) -> None:
         """Called when the state has changed to CLOSED; notifies the server and aborts the transport."""
+        self.server.memory.set_unsent(self, 0)
         self.server.on_connection_closed(self)
         self.parser.close()
         if self.transport is not None:
@@ -180,6 +186,8 @@
                 self._close_after_pending()
         except FatalRequestError as error:
             self._close_with_error(error)
+        if self.parser.is_in_message or self.has_unfinished_request:
+            self._count_unfinished_request()
         if len(self.pending) >= MAX_PENDING_REQUESTS:
             self._update_reading()
 
@@ -196,10 +204,12 @@
         """Called when the write buffer is full because the client does not read its responses."""
         self.is_write_buffer_full = True
         self._update_reading()
+        self._count_unsent_responses()
 
     def resume_writing(self) -> None:
         """Called when the write buffer has room again."""
         self.is_write_buffer_full = False
+        self.server.memory.set_unsent(self, 0)
         self._update_reading()
 
     # Called by the parser
@@ -250,6 +260,7 @@
         """
         try:
             parsed = parse_request(self.parser, self.server.rules, self.server.open_trace_ids)
+            self._count_pending_request(request, parsed)
             request.parsed = parsed
             self.server.open_trace_ids.add(parsed.trace_id)
             self.server.handler.handle_request(request, parsed)
@@ -277,11 +288,13 @@
         server = self.server
         if (server.is_draining or server.is_above_high_watermark()) and request is self.pending[-1]:
             self._close_after(request)  # closing after an earlier request would lose the later responses
-        self._free_trace_id(request)
+        self._release_request(request)
         request.response = encode_response(status, body, header_lines, request.closes_connection)
         if self._write_ready_responses(transport):
             self._begin_lingering_close()
             return
+        if self.is_write_buffer_full:
+            self._count_unsent_responses()
         self.last_active_s = server.loop_time_s()
         if server.is_draining and self.is_idle():
             # The newest response was encoded before draining began, so it does not announce the close.
@@ -302,10 +315,51 @@
                 return True
         return False
 
-    def _free_trace_id(self, request: ClientRequest) -> None:
-        """Allow new requests to use the trace id of `request`."""
+    def _release_request(self, request: ClientRequest) -> None:
+        """Allow new requests to use the trace id of `request`, and stop counting its bytes."""
         if request.parsed is not None:
             self.server.open_trace_ids.discard(request.parsed.trace_id)
+            self.server.memory.remove_pending(request.counted_bytes)
+
+    # Memory
+
+    def _count_unfinished_request(self) -> None:
+        """Count the part of a request that has been read, which may refuse the oldest such request."""
+        if self.state is not OPEN:
+            self._discard_unfinished_request()
+            return
+        memory = self.server.memory
+        if self.requests_in_read:
+            memory.set_unfinished(self, 0)  # the request that was counted is complete
+        held_bytes = self.parser.held_bytes()
+        self.has_unfinished_request = held_bytes > 0
+        memory.set_unfinished(self, held_bytes)
+
+    def _discard_unfinished_request(self) -> None:
+        """Discard the part of a request that has been read, because the rest of it will not be."""
+        if self.parser.is_in_message:
+            self.parser.abandon_message()
+        if self.has_unfinished_request:
+            self.has_unfinished_request = False
+            self.server.memory.set_unfinished(self, 0)
+
+    def _count_pending_request(self, request: ClientRequest, parsed: ParsedRequest) -> None:
+        """Count a complete request. Raises `InvalidRequest` if clients hold too many bytes already."""
+        counted_bytes = self.server.memory.add_pending(len(parsed.head) + len(parsed.body))
+        if counted_bytes is None:
+            raise InvalidRequest(Status.SERVICE_UNAVAILABLE, "too many large requests at once")
+        request.counted_bytes = counted_bytes
+
+    def _count_unsent_responses(self) -> None:
+        """Count the responses that the client does not read, which may abort the oldest such connection."""
+        if self.transport is not None and self.state is not CLOSED:
+            self.server.memory.set_unsent(self, self.transport.get_write_buffer_size())
+
+    def refuse_unfinished_request(self) -> None:
+        """Refuse the request that has arrived in part, because clients hold too many bytes, and close."""
+        self._close_with_error(
+            FatalRequestError(Status.SERVICE_UNAVAILABLE, "too many unfinished requests at once")
+        )
 
     def _close_after(self, request: ClientRequest) -> None:
         """Close the connection after the response to `request`, which must be the newest request."""
@@ -340,7 +394,6 @@
         """
         if not self._change_state(ClientEvent.FATAL_REQUEST_ERROR):
             return
-        self.parser.abandon_message()
         request = ClientRequest(self)
         request.closes_connection = True
         self.pending.append(request)
--- a/yardlane/proxy/client_request.py
+++ b/yardlane/proxy/client_request.py
@@ -23,12 +23,13 @@
 class ClientRequest:
     """A request of a client, with its response once it has been answered."""
 
-    __slots__ = ("closes_connection", "connection", "parsed", "request_id", "response")
+    __slots__ = ("closes_connection", "connection", "counted_bytes", "parsed", "request_id", "response")
 
     def __init__(self, connection: RequestConnection) -> None:
         self.connection = connection
         self.parsed: ParsedRequest | None = None  # None for an invalid request or a health check
         self.request_id = -1  # the handler assigns the id of a valid request
+        self.counted_bytes = 0  # what `ClientMemory` counts for it
         self.response = b""  # empty until the request is answered
         self.closes_connection = False  # whether the connection closes after the response
 
--- a/yardlane/proxy/client_server.py
+++ b/yardlane/proxy/client_server.py
@@ -7,6 +7,7 @@
 
 from yardlane.config import Config
 from yardlane.proxy.client_connection import ClientConnection
+from yardlane.proxy.client_memory import ClientMemory, client_memory_limits
 from yardlane.proxy.client_request import RequestHandler
 from yardlane.proxy.client_state import ClientState
 from yardlane.proxy.listener import Listener
@@ -41,6 +42,7 @@
         self.rules = RequestRules.from_config(config)
         self.connections: dict[ClientConnection, None] = {}  # in the order of acceptance
         self.open_trace_ids: set[bytes] = set()
+        self.memory = ClientMemory(client_memory_limits(config.memory_limit_mb))
         self.is_draining = False  # set when the graceful shutdown begins
         self.timeout_check_due_s = 0.0
         self.listener = Listener(self.make_connection, loop)
--- a/yardlane/proxy/proxy.py
+++ b/yardlane/proxy/proxy.py
@@ -193,6 +193,7 @@
         end as NOT_SENT, even if a part of the request has been sent.
         """
         request.has_ended = True
+        request.discard_message()
         if request.watchdog_timer is not None:
             request.watchdog_timer.cancel()
         for attempt in request.attempts:
--- a/yardlane/proxy/request_in_flight.py
+++ b/yardlane/proxy/request_in_flight.py
@@ -38,6 +38,11 @@
         self.has_ended = False
         self.watchdog_timer: asyncio.TimerHandle | None = None
 
+    def discard_message(self) -> None:
+        """Discard the head and the body, because the request has ended and is not sent any more."""
+        self.parsed.head = b""
+        self.parsed.body = b""
+
     def encode(self, time_left_us: int) -> bytes:
         """Return the request as it is sent to an upstream, with `time_left_us` as its X-Expires-In header."""
         parsed = self.parsed
--- a/yardlane/proxy/request_parser.py
+++ b/yardlane/proxy/request_parser.py
@@ -115,6 +115,10 @@
             raise _to_client_error(error) from error
         return True
 
+    def held_bytes(self) -> int:
+        """Return how many bytes the parser holds of a message that has arrived in part."""
+        return self.head_bytes + len(self.body) if self.is_in_message else 0
+
     def http_version(self) -> str:
         """Return the HTTP version without the name of the protocol, such as `1.1`."""
         assert self._http is not None
--- a/yardlane/units.py
+++ b/yardlane/units.py
@@ -1,4 +1,4 @@
-"""Conversion factors between units of time, for all parts of the package except the decisions.
+"""Conversion factors between units of time and of size, for all parts of the package except the decisions.
 
 The decisions import nothing from the rest of the package but its errors, so they define their own units.
 """
@@ -6,3 +6,4 @@
 MS_PER_S = 1_000
 US_PER_MS = 1_000
 US_PER_S = 1_000_000
+BYTES_PER_MB = 1_000_000
