Test that clients which leave with much unread get nothing forwarded

Callers saw: a client sent many large requests, which waited for another client's request, and left. When their turn came, the first was sent to a backend.

Cause: reading paused while four requests were pending. The end of the connection came behind unread bytes that filled both kernels' buffers, so neither the event loop nor the check of the socket before an attempt could see it.

--- /dev/null
+++ b/tests/proxy/test_client_departure.py
@@ -0,0 +1,165 @@
+"""Tests of clients that leave with much unsent or unread."""
+
+import asyncio
+import socket
+from contextlib import suppress
+
+import pytest
+
+from tests.client_side import connect_clients, only_connection
+from tests.loopback import (
+    FakeServer,
+    ScriptedDecider,
+    leave_pending,
+    make_request,
+    make_response,
+    read_message,
+    read_status,
+    running_server,
+    running_server_with_backend,
+    settings_dict,
+    uvloop_test,
+    wait_until,
+)
+from yardlane.decisions.events import RequestArrived, RequestEnded
+from yardlane.proxy.client_connection import MAX_PENDING_REQUESTS
+from yardlane.proxy.client_reader import MAX_BACKLOG_BYTES
+from yardlane.proxy.client_state import ClientState
+
+BODY_BYTES = 60_000
+# More than the kernel holds for a receiver that does not read.
+UNREAD_BYTES = 8_000_000
+BLOCKED_TURNS = 200
+CONCURRENCY_1_SETTINGS = settings_dict(packages=[{**settings_dict()["packages"][0], "concurrency": 1}])
+
+
+def large_request(number: int) -> bytes:
+    """Return a request with a large body and a trace id of its own."""
+    request = make_request("file", f"a{number}", Content_Length=str(BODY_BYTES), X_Expires_In="60000m")
+    return request + bytes(BODY_BYTES)
+
+
+async def send_until_blocked(client_socket: socket.socket, data: bytes) -> None:
+    """Send until all is sent, or the receiver has not made room for many turns of the event loop."""
+    view = memoryview(data)
+    blocked_turns = 0
+    while view and blocked_turns < BLOCKED_TURNS:
+        sent_bytes = 0
+        with suppress(BlockingIOError, ConnectionError):
+            sent_bytes = client_socket.send(view)
+        view = view[sent_bytes:]
+        blocked_turns = 0 if sent_bytes else blocked_turns + 1
+        await asyncio.sleep(0)
+
+
+@uvloop_test
+async def test_request_of_a_client_that_left_with_much_unread_is_not_forwarded() -> None:
+    """A client sends many large requests, which wait for a request of another client, and leaves.
+
+    Reading was paused while four requests were pending. The end of the connection came behind the unread
+    bytes, so it was not noticed, and a request was forwarded when its turn came, long after its client had
+    left.
+    """
+    async with running_server_with_backend(settings=CONCURRENCY_1_SETTINGS) as (server, backend):
+        first, to_first = await server.connect_client()
+        to_first.write(make_request(trace="first"))
+        reader, writer = await backend.accept_connection()
+        assert (await read_message(reader))[1]["x-trace-id"] == "first"
+        leaving = socket.create_connection(("127.0.0.1", server.clients.port()))
+        leaving.setblocking(False)
+        data = b"".join(large_request(number) for number in range(UNREAD_BYTES // BODY_BYTES))
+        await send_until_blocked(leaving, data)
+        leaving.close()
+        for _ in range(BLOCKED_TURNS):
+            await asyncio.sleep(0)
+        writer.write(make_response())
+        assert await read_status(first) == "200"
+        to_first.write(make_request(trace="later"))
+        next_reader = await first_to_be_used(reader, backend)
+        assert (await read_message(next_reader))[1]["x-trace-id"] == "later"
+        assert server.open_request_count == 1
+
+
+async def first_to_be_used(idle: asyncio.StreamReader, backend: FakeServer) -> asyncio.StreamReader:
+    """Return the reader on which the next request arrives: a new connection, or the idle one."""
+    accepting = asyncio.ensure_future(backend.accept_connection())
+    while not accepting.done() and not idle._buffer:  # type: ignore[attr-defined]
+        await asyncio.sleep(0)
+    if accepting.done():
+        return accepting.result()[0]
+    accepting.cancel()
+    return idle
+
+
+@pytest.mark.parametrize("is_reset", [False, True], ids=["close", "reset"])
+def test_client_that_leaves_while_requests_are_pending_is_noticed_at_once(is_reset: bool) -> None:
+    """A client sends as many requests as may be pending, and a part of another, and leaves.
+
+    It was noticed only by the timeout check, up to 0.2 s later.
+    """
+
+    @uvloop_test
+    async def run() -> None:
+        script = ScriptedDecider(leave_pending)
+        async with running_server(script) as server:
+            server.clients.check_all_timeouts = lambda: None  # type: ignore[method-assign]
+            _, writer = await server.connect_client()
+            for number in range(MAX_PENDING_REQUESTS):
+                writer.write(make_request(trace=f"a{number}"))
+            await script.wait_for(RequestArrived, MAX_PENDING_REQUESTS)
+            writer.write(make_request(trace="b")[:40])
+            await wait_until(lambda: only_connection(server).reader.backlog)
+            if is_reset:
+                client_socket = writer.get_extra_info("socket")
+                client_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+                writer.transport.abort()
+            else:
+                writer.close()
+            await script.wait_for(RequestEnded, MAX_PENDING_REQUESTS)
+            assert not server.open_request_count
+
+    run()
+
+
+@uvloop_test
+async def test_requests_beyond_the_backlog_are_refused_and_the_connection_closes() -> None:
+    """A client goes on sending while four requests are pending. Holding all of it would fill the memory."""
+    async with running_server(ScriptedDecider(leave_pending)) as server:
+        [(reader, writer)] = await connect_clients(server, 1)
+        connection = only_connection(server)
+        for number in range(MAX_PENDING_REQUESTS):
+            writer.write(make_request(trace=f"a{number}"))
+        await wait_until(lambda: len(connection.pending) == MAX_PENDING_REQUESTS)
+        connection.data_received(bytes(MAX_BACKLOG_BYTES))
+        states = [connection.state]
+        assert server.clients.memory.held_bytes >= MAX_BACKLOG_BYTES
+        connection.data_received(b"x")
+        assert [*states, connection.state] == [ClientState.OPEN, ClientState.ERROR_PENDING]
+        assert server.clients.memory.held_bytes == 0 and not connection.reader.backlog
+        for request_id in list(server.proxy.requests):
+            server.proxy.fail_request(request_id)
+        statuses = [await read_status(reader) for _ in range(MAX_PENDING_REQUESTS + 1)]
+        assert statuses == ["500"] * MAX_PENDING_REQUESTS + ["503"]
+        assert await reader.read() == b""
+
+
+@uvloop_test
+async def test_requests_read_ahead_are_served_in_order_once_others_have_ended() -> None:
+    """A client sends more requests than may be pending, in several reads. All of them must be answered."""
+    script = ScriptedDecider(leave_pending)
+    async with running_server(script) as server:
+        reader, writer = await server.connect_client()
+        for number in range(MAX_PENDING_REQUESTS):
+            writer.write(make_request(trace=f"a{number}"))
+        await script.wait_for(RequestArrived, MAX_PENDING_REQUESTS)
+        connection = only_connection(server)
+        writer.write(make_request(trace="b0"))
+        await wait_until(lambda: connection.reader.backlog)
+        server.proxy.fail_request(2)  # is answered, and waits for the first
+        await asyncio.sleep(0)
+        assert connection.reader.backlog
+        server.proxy.fail_request(1)
+        await script.wait_for(RequestArrived, MAX_PENDING_REQUESTS + 1)
+        for request_id in (3, 4, 5):
+            server.proxy.fail_request(request_id)
+        assert [await read_status(reader) for _ in range(5)] == ["500"] * 5
