Keep a trace id open while an attempt of its request is in flight

Callers saw: a request that came again after its client had left was forwarded while the first attempt was still in flight, and ran twice.

Cause: ClientConnection released the id when the client left; the attempt goes on.

Change: Proxy has the one registry of ids. An id is added with its request and released with it, in forget_request.

Tests: test_trace_id_stays_open_while_an_attempt_of_its_request_is_in_flight failed before (forwarded, 502 instead of 409). A test that used the registry to wait for a disconnect now waits for the end of that request itself, which is what it meant.

--- a/tests/client_side.py
+++ b/tests/client_side.py
@@ -70,4 +70,4 @@
     """
     while server.proxy.requests or server.pool.connections:
         await asyncio.sleep(0)
-    assert server.open_request_count == 0 and not server.clients.open_trace_ids
+    assert server.open_request_count == 0 and not server.proxy.open_trace_ids
--- a/tests/proxy/test_client_departure.py
+++ b/tests/proxy/test_client_departure.py
@@ -1,4 +1,4 @@
-"""Tests of clients that leave with much unsent or unread."""
+"""Tests of clients that leave with much unsent or unread, and of requests that come again after that."""
 
 import asyncio
 import socket
@@ -10,6 +10,7 @@
 from tests.loopback import (
     FakeServer,
     ScriptedDecider,
+    forward_all,
     leave_pending,
     make_request,
     make_response,
@@ -163,3 +164,27 @@
         for request_id in (3, 4, 5):
             server.proxy.fail_request(request_id)
         assert [await read_status(reader) for _ in range(5)] == ["500"] * 5
+
+
+@uvloop_test
+async def test_trace_id_stays_open_while_an_attempt_of_its_request_is_in_flight() -> None:
+    """A client leaves while its request runs at a backend, and the same request comes on a new connection.
+
+    Its trace id was released when the client left, so the request was sent again and ran twice.
+    """
+    async with running_server_with_backend(ScriptedDecider(forward_all)) as (server, backend):
+        _, to_server = await server.connect_client()
+        to_server.write(make_request("file", "again"))
+        backend_reader, backend_writer = await backend.accept_connection()
+        assert (await read_message(backend_reader))[1]["x-trace-id"] == "again"
+        [request] = server.proxy.requests.values()
+        to_server.transport.abort()
+        await wait_until(lambda: request.has_ended)
+        assert (await server.fetch(make_request("file", "again")))[0].split()[1] == "409"
+        assert backend.accepted.empty()
+        backend_writer.write(make_response())
+        await wait_until(lambda: not server.proxy.open_trace_ids)
+        _, to_server = await server.connect_client()
+        to_server.write(make_request("file", "again"))
+        reader = await first_to_be_used(backend_reader, backend)
+        assert (await read_message(reader))[1]["x-trace-id"] == "again"
--- a/tests/proxy/test_client_disconnect.py
+++ b/tests/proxy/test_client_disconnect.py
@@ -185,7 +185,8 @@
         reader, writer = first.result()
         await read_message(reader)
         disconnect(to_proxy)
-        while server.clients.open_trace_ids:
+        [request] = server.proxy.requests.values()
+        while not request.has_ended:
             await asyncio.sleep(0)
         writer.write(NOT_RUN_RESPONSE)
         while gateway.requests:
--- a/tests/proxy/test_client_timeouts.py
+++ b/tests/proxy/test_client_timeouts.py
@@ -70,7 +70,7 @@
             clock.advance(0.75)
             responses = await read_until_closed(reader)
             assert responses.startswith(b"HTTP/1.1 502 ") and responses.count(b"HTTP/1.1 4") == 1
-            assert not server.clients.open_trace_ids and not server.open_request_count
+            assert not server.proxy.open_trace_ids and not server.open_request_count
 
     run()
 
--- a/yardlane/proxy/client_connection.py
+++ b/yardlane/proxy/client_connection.py
@@ -54,7 +54,6 @@
 
     handler: RequestHandler
     rules: RequestRules
-    open_trace_ids: set[bytes]
     memory: ClientMemory
     read_scheduler: ReadScheduler
     is_draining: bool
@@ -233,11 +232,11 @@
         The connection stays usable, even after an unexpected exception, which is answered with 500.
         """
         try:
-            parsed = parse_request(self.parser, self.server.rules, self.server.open_trace_ids)
+            handler = self.server.handler
+            parsed = parse_request(self.parser, self.server.rules, handler.open_trace_ids)
             self._count_pending_request(request, parsed)
             request.parsed = parsed
-            self.server.open_trace_ids.add(parsed.trace_id)
-            self.server.handler.handle_request(request, parsed)
+            handler.handle_request(request, parsed)
         except InvalidRequest as error:
             request.reply(error.status, error.text.encode() + b"\n", error.header_lines)
         except Exception:  # a bug that affects one request must not end the other requests of the connection
@@ -291,10 +290,10 @@
         return False
 
     def _release_request(self, request: ClientRequest) -> None:
-        """Allow new requests to use the trace id of `request`, and stop counting its bytes."""
-        if request.parsed is not None:
-            self.server.open_trace_ids.discard(request.parsed.trace_id)
+        """Stop counting the bytes of a request that is answered or can no longer be."""
+        if request.counted_bytes:
             self.server.memory.remove_pending(request.counted_bytes)
+            request.counted_bytes = 0
 
     # Memory
 
--- a/yardlane/proxy/client_request.py
+++ b/yardlane/proxy/client_request.py
@@ -42,7 +42,13 @@
 
 
 class RequestHandler(Protocol):
-    """Serves the requests of all client connections."""
+    """Serves the requests of all client connections.
+
+    `open_trace_ids` has the trace ids of all requests that have not ended completely: a request without an
+    answer, or one that still has an attempt in flight.
+    """
+
+    open_trace_ids: set[bytes]
 
     def handle_request(self, request: ClientRequest, parsed: ParsedRequest) -> None:
         """Serve a valid request by calling `request.reply`, now or later."""
--- a/yardlane/proxy/client_server.py
+++ b/yardlane/proxy/client_server.py
@@ -42,7 +42,6 @@
         self.loop_time_s = loop_time_s or loop.time
         self.rules = RequestRules.from_config(config)
         self.connections: dict[ClientConnection, None] = {}  # in the order of acceptance
-        self.open_trace_ids: set[bytes] = set()
         self.read_scheduler = ReadScheduler(loop)
         self.memory = ClientMemory(client_memory_limits(config.memory_limit_mb))
         self.is_draining = False  # set when the graceful shutdown begins
--- a/yardlane/proxy/proxy.py
+++ b/yardlane/proxy/proxy.py
@@ -77,6 +77,9 @@
         if config.counter is not None:
             self.counter = CounterClient(config.counter, self.settings.counter_timeout_us, self.post, loop)
         self.requests: dict[int, RequestInFlight] = {}
+        # The trace ids of `requests`. A request that comes again while an attempt of the first one is in
+        # flight would run twice, also if its first client has left. An id is released only with its request.
+        self.open_trace_ids: set[bytes] = set()
         self.last_request_id = 0
         self.endpoint_addresses: Addresses = {}
         self.has_usable_endpoint_list = False  # for a cached list, see `on_poll_failed`
@@ -104,6 +107,7 @@
         client_request.request_id = request_id
         request = RequestInFlight(client_request, parsed, now_us + time_left_us)
         self.requests[request_id] = request
+        self.open_trace_ids.add(parsed.trace_id)
         watchdog_delay_us = time_left_us + self.settings.answer_grace_us
         request.watchdog_timer = call_after(
             self.loop, watchdog_delay_us, self._on_watchdog_expired, request_id
@@ -259,8 +263,10 @@
         self._end_without_decision(request_id, Status.INTERNAL_SERVER_ERROR, FAILED_BODY)
 
     def forget_request(self, request_id: int) -> None:
-        """Forget the request, to which the decider no longer refers."""
-        self.requests.pop(request_id, None)
+        """Forget the request, to which the decider no longer refers, and release its trace id."""
+        request = self.requests.pop(request_id, None)
+        if request is not None:
+            self.open_trace_ids.discard(request.parsed.trace_id)
 
     # Attempts
 
--- a/yardlane/proxy/request_validation.py
+++ b/yardlane/proxy/request_validation.py
@@ -223,8 +223,8 @@
 def _read_trace_id(headers: Mapping[bytes, bytes], open_trace_ids: Container[bytes]) -> bytes:
     """Return the trace id. Raises `InvalidRequest` if it is malformed or one of `open_trace_ids`.
 
-    These belong to the unanswered requests of this process. Upstreams identify a request by its trace id, so
-    they could not distinguish two requests with the same one.
+    These belong to the requests of this process that are unanswered or have an attempt in flight. Upstreams
+    identify a request by its trace id, so they could not distinguish two requests with the same one.
     """
     trace_id = headers.get(TRACE_ID_HEADER, b"")
     if not TOKEN_PATTERN.fullmatch(trace_id):
