Stop reusing connections to the process that an endpoint had before a restart

Callers saw: after an endpoint's process was replaced at the same address, requests were sent on connections to the old one for up to 15 s, and were lost; attempts that waited for a connection reached the cold new process.

Cause: Proxy.apply_update compared addresses only. A process with the same id and address, but another start, looked unchanged.

Change: the proxy keeps the start of each endpoint. When it changes, connections that were established before the start are closed, waiting attempts end, and the reuse delay is forgotten.

Tests: test_replaced_upstreams; four of ten cases failed before. Other endpoints at an old address, swapped addresses and a discovery that starts anew passed before.

--- a/yardlane/proxy/proxy.py
+++ b/yardlane/proxy/proxy.py
@@ -46,7 +46,12 @@
 from yardlane.proxy.clock import Clock, call_after
 from yardlane.proxy.counter_client import CounterClient
 from yardlane.proxy.decision_loop import DecisionLoop
-from yardlane.proxy.endpoint_addresses import addresses_after
+from yardlane.proxy.endpoint_addresses import (
+    Starts,
+    addresses_after,
+    restarted_endpoints,
+    starts_after,
+)
 from yardlane.proxy.endpoint_decoder import Addresses
 from yardlane.proxy.request_in_flight import RequestInFlight
 from yardlane.proxy.request_validation import ParsedRequest
@@ -82,6 +87,7 @@
         self.open_trace_ids: set[bytes] = set()
         self.last_request_id = 0
         self.endpoint_addresses: Addresses = {}
+        self.endpoint_starts: Starts = {}
         self.has_usable_endpoint_list = False  # for a cached list, see `on_poll_failed`
         self.drain_deadline_us = 0  # when all requests must be answered; 0 before the graceful shutdown
         self.action_handlers: dict[type, Callable[[Any], None]] = {
@@ -149,13 +155,17 @@
         if update.kind is not UpdateKind.CACHED:
             self.has_usable_endpoint_list = True
         old_addresses = self.endpoint_addresses
+        old_starts = self.endpoint_starts
         self.endpoint_addresses = addresses_after(old_addresses, update, addresses)
+        self.endpoint_starts = starts_after(old_starts, update)
         # The update is posted before the `AttemptEnded` events of the attempts that it ends. Otherwise, the
         # decider could send a retry to another endpoint that the same update marks as draining.
         self.post(update)
         for endpoint_id, address in old_addresses.items():
             if self.endpoint_addresses.get(endpoint_id) != address:
                 self.pool.remove_endpoint(endpoint_id)
+        for endpoint_id in restarted_endpoints(old_starts, self.endpoint_starts):
+            self.pool.restart_endpoint(endpoint_id, self.endpoint_starts[endpoint_id])
         for endpoint in update.endpoints:
             if endpoint.state is not EndpointState.READY:
                 self.pool.drain_endpoint(endpoint.endpoint_id)
--- a/yardlane/proxy/upstream_pool.py
+++ b/yardlane/proxy/upstream_pool.py
@@ -10,7 +10,7 @@
 from yardlane.proxy.attempt import Attempt
 from yardlane.proxy.connection_reuse import ReusePolicy
 from yardlane.proxy.upstream_connection import UpstreamConnection
-from yardlane.proxy.upstream_state import CONNECTING
+from yardlane.proxy.upstream_state import CONNECTING, IDLE
 from yardlane.units import US_PER_S
 
 log = logging.getLogger("yardlane.proxy.upstream_pool")
@@ -78,13 +78,29 @@
         Idle connections are closed now, attempts that still wait for a connection end, and busy connections
         are closed after the current request.
         """
-        for connection in list(self.idle.get(endpoint_id, ())):
-            connection.close()
+        self._stop_reuse(endpoint_id, [c for c in self.connections if c.endpoint_id == endpoint_id])
+
+    def restart_endpoint(self, endpoint_id: bytes, started_at_us: int) -> None:
+        """Stop reusing the connections to the process that the endpoint had before it started again.
+
+        As `remove_endpoint`, but connections that were established after the start (Unix time) are kept: they
+        lead to the new process.
+        """
+        older = [
+            connection
+            for connection in self.connections
+            if connection.endpoint_id == endpoint_id and connection.established_at_us < started_at_us
+        ]
+        self._stop_reuse(endpoint_id, older)
+
+    def _stop_reuse(self, endpoint_id: bytes, connections: list[UpstreamConnection]) -> None:
+        """Close those of the endpoint's connections that are idle, and the others after their response."""
         self.drain_endpoint(endpoint_id)
         self.reuse_policy.forget_endpoint(endpoint_id)
-        for connection in self.connections:
-            if connection.endpoint_id == endpoint_id:
-                connection.closes_after_response = True
+        for connection in connections:
+            connection.closes_after_response = True
+            if connection.state is IDLE:
+                connection.close()
 
     # Called by the connections
 
