--- a/yardlane/decisions/tenant.py
+++ b/yardlane/decisions/tenant.py
@@ -3,7 +3,8 @@
 A tenant is kept from its first request until it can be evicted without consequences. This is when it has
 nothing queued or in flight, its last request is more than `MAX_TOTAL_AGE_US` ago, and its hard rate bucket is
 full. If a tenant were evicted while its bucket is not full, its next request would create a new bucket that
-may hold more units, and the hard rate would be exceeded.
+may hold more units, and the hard rate would be exceeded. Above `MAX_TENANTS`, a recent request does not keep
+a tenant.
 
 The first request determines which gateways serve the tenant. This is not updated while the tenant is kept. If
 later requests name other gateways, the quota is divided by the old number of gateways until the tenant is
@@ -28,6 +29,8 @@
 
 # An arrival adds at most one tenant, so idle tenants are evicted faster than new ones arrive.
 MAX_EVICTIONS_PER_ARRIVAL = 4
+# Above this number, tenants are evicted although their last request is recent. A tenant takes about 1 KB.
+MAX_TENANTS = 16_384
 
 TenantId = tuple[int, int]
 """The tenant's number and its plan's index.
@@ -147,9 +150,16 @@
         if is_first and self.plan.hard_rate_per_s:
             self.hard_rate.fill_on_first_total()
 
+    def is_idle(self, now_us: int) -> bool:
+        """Return whether the last request is so long ago that its demand no longer matters."""
+        return now_us - self.demand.last_request_at_us > MAX_TOTAL_AGE_US
+
     def is_evictable(self, now_us: int) -> bool:
-        """Return whether the tenant can be evicted without consequences; refill its buckets if it is idle."""
-        if now_us - self.demand.last_request_at_us <= MAX_TOTAL_AGE_US or self.in_flight or self.queue:
+        """Return whether a new object for the tenant would not exceed its limits; refill its buckets if so.
+
+        The hard rate bucket of a new object may be full, and it has no request in flight or queued.
+        """
+        if self.in_flight or self.queue:
             return False
         self.refill(now_us)
         return self.hard_rate.is_full()
@@ -161,9 +171,19 @@
     At most `MAX_EVICTIONS_PER_ARRIVAL` tenants are evicted, and none after the first that cannot be evicted.
     `tenants` is ordered by the time of the last request. Its last tenant must not be idle, so that one tenant
     always remains.
+
+    Above `MAX_TENANTS`, tenants that are not idle are evicted as well, as requests under ever new names would
+    otherwise fill the memory. Such a tenant loses its demand, of which the counter still has the reported
+    part. Tenants that cannot be evicted then go to the end, so that they do not protect the others.
     """
     for _ in range(MAX_EVICTIONS_PER_ARRIVAL):
+        is_crowded = len(tenants) > MAX_TENANTS
         tenant_id, oldest = next(iter(tenants.items()))
-        if not oldest.is_evictable(now_us):
+        if not (is_crowded or oldest.is_idle(now_us)):
+            return
+        if oldest.is_evictable(now_us):
+            del tenants[tenant_id]
+        elif is_crowded:
+            tenants[tenant_id] = tenants.pop(tenant_id)
+        else:
             return
-        del tenants[tenant_id]
