List commands that are run by hand in KNOWN-RED.txt, printed and not run

A case with a command and a seed could not be entered, because the file took only tests of the default run. An entry that begins with `command:` is now printed in each run.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,11 +3,14 @@
 Every listed test must run and fail, and all other tests must pass. The file is in the root directory of the
 repository. Each line is one entry, `TEST | COMMAND AND SEED | SEEN | ISSUE`: TEST is the complete test id as
 pytest prints it, including the brackets of a parametrized test. SEEN describes the failure, and ISSUE says
-where it is being followed up. Blank lines are ignored, and at most three entries are allowed. Without the
+where it is being followed up. Blank lines are ignored, and at most three tests may be listed. Without the
 file, every failure counts.
 
 A listed test runs like any other. A failure of its body is reported as xfailed. If it passes, is skipped, or
 has an error in its setup or teardown, the run fails.
+
+An entry may also name what is run by hand, such as a long run. Its first field is `command:` and the command.
+It is printed at the end of each run; nothing is run and no failure is tolerated for it.
 """
 
 from __future__ import annotations
@@ -20,7 +23,8 @@
 
 KNOWN_RED_FILE = Path(__file__).parent.parent / "KNOWN-RED.txt"
 ENTRY_FORMAT = "TEST | COMMAND AND SEED | SEEN | ISSUE"
-MAX_ENTRIES = 3
+MAX_ENTRIES = 3  # of tests; the same number of commands may be listed as well
+COMMAND_PREFIX = "command:"
 
 
 @dataclass(frozen=True)
@@ -36,7 +40,15 @@
         return " | ".join((self.test_id, self.command, self.seen, self.issue))
 
 
-KNOWN_FAILURES = pytest.StashKey[dict[str, KnownFailure]]()
+@dataclass(frozen=True)
+class KnownFailures:
+    """The entries of KNOWN-RED.txt, by test id or command."""
+
+    tests: dict[str, KnownFailure]
+    commands: dict[str, KnownFailure]
+
+
+KNOWN_FAILURES = pytest.StashKey[KnownFailures]()
 
 
 def parse_entry(line: str) -> KnownFailure:
@@ -50,19 +62,21 @@
     return KnownFailure(*fields)
 
 
-def parse_known_red(text: str) -> dict[str, KnownFailure]:
-    """Return the entries by test id. Raises UsageError if the list is malformed."""
-    entries: dict[str, KnownFailure] = {}
+def parse_known_red(text: str) -> KnownFailures:
+    """Return the entries. Raises UsageError if the list is malformed."""
+    known = KnownFailures({}, {})
     for line in filter(None, map(str.strip, text.splitlines())):
         entry = parse_entry(line)
+        entries = known.commands if entry.test_id.startswith(COMMAND_PREFIX) else known.tests
         if entry.test_id in entries:
             raise pytest.UsageError(f"{KNOWN_RED_FILE.name}: listed twice: {entry.test_id}")
         entries[entry.test_id] = entry
-    if len(entries) > MAX_ENTRIES:
-        raise pytest.UsageError(
-            f"{KNOWN_RED_FILE.name}: {len(entries)} tests listed, at most {MAX_ENTRIES} allowed"
-        )
-    return entries
+    for kind, entries in (("tests", known.tests), ("commands", known.commands)):
+        if len(entries) > MAX_ENTRIES:
+            raise pytest.UsageError(
+                f"{KNOWN_RED_FILE.name}: {len(entries)} {kind} listed, at most {MAX_ENTRIES} allowed"
+            )
+    return known
 
 
 def pytest_configure(config: pytest.Config) -> None:
@@ -76,7 +90,7 @@
 
     A failed collection may have lost listed tests and ends the run anyway, so the list is not checked then.
     """
-    missing = session.config.stash[KNOWN_FAILURES].keys() - {item.nodeid for item in session.items}
+    missing = session.config.stash[KNOWN_FAILURES].tests.keys() - {item.nodeid for item in session.items}
     if missing and not session.testsfailed:
         raise pytest.UsageError(
             f"{KNOWN_RED_FILE.name}: no such test in this run: {', '.join(sorted(missing))}"
@@ -88,7 +102,7 @@
 def pytest_runtest_makereport(item: pytest.Item) -> Generator[None, pytest.TestReport, pytest.TestReport]:
     """Report the failure of a listed test as xfailed, and any other result of it as failed."""
     report = yield
-    entry = item.config.stash[KNOWN_FAILURES].get(item.nodeid)
+    entry = item.config.stash[KNOWN_FAILURES].tests.get(item.nodeid)
     if entry is None:
         return report
     if report.when == "call" and report.failed:
@@ -103,8 +117,10 @@
 
 
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
-    """Print the entry of each listed test that failed as expected."""
-    known_failures = terminalreporter.config.stash[KNOWN_FAILURES]
+    """Print the entry of each listed test that failed as expected, and of each listed command."""
+    known = terminalreporter.config.stash[KNOWN_FAILURES]
     for report in terminalreporter.getreports("xfailed"):
-        if report.nodeid in known_failures:
+        if report.nodeid in known.tests:
             terminalreporter.write_line(f"known red: {report.wasxfail}")
+    for entry in known.commands.values():
+        terminalreporter.write_line(f"known red, not run: {entry}")
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -81,7 +81,28 @@
     assert f"known red: {FAILING} | pytest, seed 5 | the clock | #7" in output
 
 
-@pytest.mark.parametrize("listed", [None, "", "tests/test_some.py::test_expected | pytest | seen | #1\n"])
+COMMAND_ENTRY = "command: bash soak.sh | seed 5 | 20 of 48 lost | #33"
+
+
+def test_listed_command_is_printed_and_not_run(tmp_path: Path) -> None:
+    """A fault shows only in a long run by hand. It must be on the list, which took only tests of CI's run."""
+    marker = tmp_path / "was_run"
+    entry = COMMAND_ENTRY.replace("bash soak.sh", f"touch {marker}")
+    code, output = run_ci(tmp_path, f"{FAILING} | pytest | seen | #1\n{entry}\n")
+    assert code == 0 and f"known red, not run: {entry}" in output, output
+    assert not marker.exists()
+
+
+@pytest.mark.parametrize(
+    "listed",
+    [
+        None,
+        "",
+        "tests/test_some.py::test_expected | pytest | seen | #1\n",
+        COMMAND_ENTRY,
+        f"command: {FAILING} | pytest | seen | #1",
+    ],
+)
 def test_failing_unlisted_test_fails_ci(tmp_path: Path, listed: str | None) -> None:
     """A test fails that is not listed: there is no list, or it is empty, or it only has other tests.
 
@@ -145,6 +166,10 @@
         (f"{FAILING} | pytest | seen | #1 | more", f"expected {ENTRY_FORMAT}"),
         (f"{FAILING} | pytest | a | #1\n{FAILING} | pytest | b | #2", "listed twice"),
         ("\n".join(f"a.py::test_{n} | pytest | seen | #1" for n in range(4)), "4 tests listed, at most 3"),
+        ("\n".join(f"command: {n} | seed | seen | #1" for n in range(4)), "4 commands listed, at most 3"),
+        (f"{COMMAND_ENTRY}\n{COMMAND_ENTRY}", "listed twice"),
+        ("command: bash soak.sh | seed 5 | seen", f"expected {ENTRY_FORMAT}"),
+        (f"a.py::test_1 | pytest | seen | #1\n{COMMAND_ENTRY}", "no such test in this run: a.py::test_1"),
     ],
 )
 def test_malformed_list_fails_ci_with_one_line(tmp_path: Path, listed: str, reason: str) -> None:
