Give the connection that has waited longest every fourth turn

A large request was put off for as long as smaller ones waited, because the least left to parse went first. Now every fourth turn goes by arrival.

The time that a read waits for turns was added to the start of a request that began in it, so its timeout was up to that much longer; it is counted turn by turn now.

--- a/tests/bad_clients.py
+++ b/tests/bad_clients.py
@@ -169,6 +169,29 @@
     await write_at_full_speed(reader, writer, lambda: GARBAGE)
 
 
+async def http_1_0_requests(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Write an unsound HTTP/1.0 request, after whose answer the connection closes."""
+    writer.write(make_request("none").replace(b"HTTP/1.1", b"HTTP/1.0"))
+    await read_until_end(reader)
+
+
+async def whole_requests_in_small_chunks(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Write unsound requests with bodies in chunks of three bytes, one after another."""
+    head = make_request("none", Transfer_Encoding="chunked")
+    body = b"3\r\nxxx\r\n" * (LARGE_BODY_BYTES // 3) + b"0\r\n\r\n"
+    while True:
+        writer.write(head + body)
+        if not await reader.read(READ_BYTES):
+            return
+
+
+async def bursts_that_leave(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Write 60 sound requests at once, and leave 20 ms later with the answers unread."""
+    cast(asyncio.Transport, writer.transport).pause_reading()
+    writer.write(b"".join(fresh_request() for _ in range(60)))
+    await asyncio.sleep(0.02)
+
+
 async def connections_that_leave(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     """Write half a request and leave."""
     writer.write(make_request()[:100])
@@ -192,6 +215,9 @@
         new_accounts_without_time,
         new_names,
         bytes_after_an_error,
+        http_1_0_requests,
+        whole_requests_in_small_chunks,
+        bursts_that_leave,
         connections_that_leave,
     )
 }
--- a/yardlane/proxy/client_reader.py
+++ b/yardlane/proxy/client_reader.py
@@ -92,7 +92,7 @@
         self.recent_cost = 0
         self.read_at_s = server.loop_time_s()  # when the bytes that are being parsed were taken up
         self.request_timeout_started_s = self.read_at_s
-        self._waiting_since_s = self.read_at_s  # when the backlog began
+        self._waiting_since_s = self.read_at_s  # the time since which the backlog has waited
         self._is_waiting = False  # for a turn
         self._has_unfinished_request = False  # `ClientMemory` counts bytes of this connection
 
@@ -187,15 +187,15 @@
         if not self.backlog or not self._may_parse(connection):
             return 0
         self.read_at_s = self._server.loop_time_s()
+        # The client is not slow while its bytes wait here.
+        self.request_timeout_started_s += self.read_at_s - self._waiting_since_s
+        self._waiting_since_s = self.read_at_s
         if not self.backlog.is_within_read():
             self.requests_in_read = 0
         body_bytes = len(self.parser.body)
         cost = self._parse(connection, self.backlog.take(TURN_BYTES))
         # A body without small chunks costs next to nothing. If the body has ended, this is not positive.
         cost -= max(0, len(self.parser.body) - body_bytes)
-        if not self.backlog:
-            # The client was not slow while its bytes waited here.
-            self.request_timeout_started_s += self.read_at_s - self._waiting_since_s
         self.continue_parsing()
         self.update_reading()
         return cost
--- a/yardlane/proxy/read_scheduler.py
+++ b/yardlane/proxy/read_scheduler.py
@@ -10,19 +10,23 @@
 do not wait behind those that send very much, nor behind those that send small requests without a pause. A
 connection that has begun is finished before others that have as much to parse. If all of them advanced
 together, they would also end together, and what follows (closing, accepting, the next large read) would come
-in bursts.
+in bursts. Every `OLDEST_TURN_INTERVAL`th turn goes to the connection that has waited longest, so that a large
+request is not put off for as long as there are smaller ones.
 """
 
 from __future__ import annotations
 
 import asyncio
 import heapq
+from collections import deque
 from itertools import count
 from typing import Protocol
 
 TURN_BYTES = 4_096
 # Also the limit for small reads in one tick of the event loop's clock.
 MAX_COST_PER_ITERATION = 8_192
+OLDEST_TURN_INTERVAL = 4  # in turns
+MAX_ENTRIES_PER_WAITING = 4  # more are entries of connections that have had their turn; they are dropped
 # The cost of work is stated in bytes: those that are parsed, and for each request, which may be answered at
 # once, the bytes that can be parsed in the same time.
 REQUEST_COST = 256
@@ -40,20 +44,34 @@
         """Do a limited amount of work, and return its cost; call `ReadScheduler.add` for another turn."""
 
 
+class WaitingTaker:
+    """A connection that waits for one turn."""
+
+    __slots__ = ("has_had_turn", "taker")
+
+    def __init__(self, taker: TurnTaker) -> None:
+        self.taker = taker
+        self.has_had_turn = False
+
+
 class ReadScheduler:
     """Calls the connections that wait for a turn, the one with the lowest `turn_priority` first."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self._loop = loop
-        self._waiting: list[tuple[int, int, TurnTaker]] = []  # a heap
+        # Both hold all that wait, and also some that have had their turn meanwhile.
+        self._by_priority: list[tuple[int, int, WaitingTaker]] = []  # a heap
+        self._by_arrival: deque[WaitingTaker] = deque()
+        self._waiting_count = 0
         self._arrival_numbers = count()  # of equal priorities, the first to arrive has the first turn
+        self._turn_numbers = count(1)
         self._is_scheduled = False
         self._tick_s = 0.0
         self._left_in_tick = MAX_COST_PER_ITERATION
 
     def admits(self, read_bytes: int, now_s: float) -> bool:
         """Return whether a read may be parsed at once. If so, `spend` has to be called with its cost."""
-        if read_bytes > TURN_BYTES or self._waiting:
+        if read_bytes > TURN_BYTES or self._waiting_count:
             return False
         if now_s != self._tick_s:
             self._tick_s = now_s
@@ -66,7 +84,10 @@
 
     def add(self, taker: TurnTaker) -> None:
         """Let a connection wait for one turn. It must not be waiting already."""
-        heapq.heappush(self._waiting, (taker.turn_priority(), next(self._arrival_numbers), taker))
+        waiting = WaitingTaker(taker)
+        heapq.heappush(self._by_priority, (taker.turn_priority(), next(self._arrival_numbers), waiting))
+        self._by_arrival.append(waiting)
+        self._waiting_count += 1
         if not self._is_scheduled:
             self._is_scheduled = True
             self._loop.call_soon(self._give_turns)
@@ -75,10 +96,35 @@
         """Give turns until the limit for one iteration is reached, and continue in the next iteration."""
         left = MAX_COST_PER_ITERATION
         try:
-            while self._waiting and left > 0:
-                _, _, taker = heapq.heappop(self._waiting)
-                left -= taker.take_turn()
+            while self._waiting_count and left > 0:
+                left -= self._next_taker().take_turn()
         finally:
-            self._is_scheduled = bool(self._waiting)
+            self._is_scheduled = self._waiting_count > 0
             if self._is_scheduled:
                 self._loop.call_soon(self._give_turns)
+
+    def _next_taker(self) -> TurnTaker:
+        """Remove and return the connection that has the next turn."""
+        is_turn_of_oldest = next(self._turn_numbers) % OLDEST_TURN_INTERVAL == 0
+        waiting = self._pop_oldest() if is_turn_of_oldest else self._pop_lowest()
+        while waiting.has_had_turn:
+            waiting = self._pop_oldest() if is_turn_of_oldest else self._pop_lowest()
+        waiting.has_had_turn = True
+        self._waiting_count -= 1
+        entry_count = max(len(self._by_priority), len(self._by_arrival))
+        if entry_count > MAX_ENTRIES_PER_WAITING * self._waiting_count:
+            self._drop_done()
+        return waiting.taker
+
+    def _drop_done(self) -> None:
+        """Drop the entries that have had their turn. Under a long flood they would fill the memory."""
+        self._by_priority = [entry for entry in self._by_priority if not entry[-1].has_had_turn]
+        heapq.heapify(self._by_priority)
+        self._by_arrival = deque(waiting for waiting in self._by_arrival if not waiting.has_had_turn)
+
+    def _pop_oldest(self) -> WaitingTaker:
+        return self._by_arrival.popleft()
+
+    def _pop_lowest(self) -> WaitingTaker:
+        _, _, waiting = heapq.heappop(self._by_priority)
+        return waiting
