--- a/tests/proxy/test_client_departure.py
+++ b/tests/proxy/test_client_departure.py
@@ -30,7 +30,7 @@
 BODY_BYTES = 60_000
 # More than the kernel holds for a receiver that does not read.
 UNREAD_BYTES = 8_000_000
-BLOCKED_TURNS = 200
+BLOCKED_ITERATIONS = 200
 CONCURRENCY_1_SETTINGS = settings_dict(packages=[{**settings_dict()["packages"][0], "concurrency": 1}])
 
 
@@ -41,15 +41,15 @@
 
 
 async def send_until_blocked(client_socket: socket.socket, data: bytes) -> None:
-    """Send until all is sent, or the receiver has not made room for many turns of the event loop."""
+    """Send until all is sent, or the receiver has not made room for many iterations of the event loop."""
     view = memoryview(data)
-    blocked_turns = 0
-    while view and blocked_turns < BLOCKED_TURNS:
+    blocked_iterations = 0
+    while view and blocked_iterations < BLOCKED_ITERATIONS:
         sent_bytes = 0
         with suppress(BlockingIOError, ConnectionError):
             sent_bytes = client_socket.send(view)
         view = view[sent_bytes:]
-        blocked_turns = 0 if sent_bytes else blocked_turns + 1
+        blocked_iterations = 0 if sent_bytes else blocked_iterations + 1
         await asyncio.sleep(0)
 
 
@@ -71,7 +71,7 @@
         data = b"".join(large_request(number) for number in range(UNREAD_BYTES // BODY_BYTES))
         await send_until_blocked(leaving, data)
         leaving.close()
-        for _ in range(BLOCKED_TURNS):
+        for _ in range(BLOCKED_ITERATIONS):
             await asyncio.sleep(0)
         writer.write(make_response())
         assert await read_status(first) == "200"
--- a/tests/proxy/test_read_scheduler.py
+++ b/tests/proxy/test_read_scheduler.py
@@ -23,7 +23,7 @@
 from yardlane.proxy.read_scheduler import (
     MAX_COST_PER_ITERATION,
     MAX_ENTRIES_PER_WAITING,
-    TURN_BYTES,
+    SLICE_BYTES,
     ReadScheduler,
 )
 
@@ -31,27 +31,27 @@
 LARGE_READ = (make_request()[:-2] + SHORT_FIELDS + b"\r\n") * 60
 
 
-class CountingTaker:
-    """Takes turns of a fixed cost until none is left, and records them in a common list."""
+class CountingRunner:
+    """Runs slices of a fixed cost until none is left, and records them in a common list."""
 
-    def __init__(self, name: str, turns: int, cost: int, scheduler: ReadScheduler, taken: list[str]) -> None:
+    def __init__(self, name: str, slices: int, cost: int, scheduler: ReadScheduler, taken: list[str]) -> None:
         self.name = name
-        self.turns = turns
+        self.slices = slices
         self.cost = cost
         self.scheduler = scheduler
         self.taken = taken
         self.fails = False
 
-    def turn_priority(self) -> int:
-        return self.turns * self.cost
+    def slice_priority(self) -> int:
+        return self.slices * self.cost
 
-    def take_turn(self) -> int:
+    def run_slice(self) -> int:
         self.taken.append(self.name)
-        self.turns -= 1
-        if self.turns:
+        self.slices -= 1
+        if self.slices:
             self.scheduler.add(self)
         if self.fails:
-            raise RuntimeError("a turn fails")
+            raise RuntimeError("a slice fails")
         return self.cost
 
 
@@ -77,13 +77,13 @@
     return ReadScheduler(loop), loop  # type: ignore[arg-type]
 
 
-def test_turns_of_one_iteration_are_limited_and_the_rest_follows() -> None:
+def test_slices_of_one_iteration_are_limited_and_the_rest_follows() -> None:
     """Hundreds of clients send large reads at once. One iteration parsed all of them, for up to seconds."""
     scheduler, loop = make_scheduler()
     taken: list[str] = []
-    turns_per_iteration = MAX_COST_PER_ITERATION // TURN_BYTES
+    turns_per_iteration = MAX_COST_PER_ITERATION // SLICE_BYTES
     for number in range(100):
-        scheduler.add(CountingTaker(str(number), 3, TURN_BYTES, scheduler, taken))
+        scheduler.add(CountingRunner(str(number), 3, SLICE_BYTES, scheduler, taken))
     loop.run_iteration()
     assert len(taken) == turns_per_iteration
     while loop.callbacks:
@@ -91,45 +91,45 @@
     assert len(taken) == 300
 
 
-def test_connection_with_the_least_left_has_the_next_turn_and_is_finished_first() -> None:
+def test_connection_with_the_least_left_has_the_next_slice_and_is_finished_first() -> None:
     """A usual client waits behind clients that send very much. If these advanced together, they would also
     end together, and their next large reads would come in one burst."""
     scheduler, loop = make_scheduler()
     taken: list[str] = []
     for name in ("large 1", "large 2"):
-        scheduler.add(CountingTaker(name, 5, TURN_BYTES, scheduler, taken))
+        scheduler.add(CountingRunner(name, 5, SLICE_BYTES, scheduler, taken))
     loop.run_iteration()
-    scheduler.add(CountingTaker("small", 1, 500, scheduler, taken))
+    scheduler.add(CountingRunner("small", 1, 500, scheduler, taken))
     while loop.callbacks:
         loop.run_iteration()
-    first = MAX_COST_PER_ITERATION // TURN_BYTES
+    first = MAX_COST_PER_ITERATION // SLICE_BYTES
     assert taken[: first + 1] == ["large 1"] * first + ["small"]
-    last_turn = {name: len(taken) - 1 - taken[::-1].index(name) for name in ("large 1", "large 2")}
-    assert last_turn["large 2"] == len(taken) - 1 and last_turn["large 1"] <= 5 + len(taken) // 4
+    last_slice = {name: len(taken) - 1 - taken[::-1].index(name) for name in ("large 1", "large 2")}
+    assert last_slice["large 2"] == len(taken) - 1 and last_slice["large 1"] <= 5 + len(taken) // 4
 
 
-def test_large_request_gets_turns_while_there_are_always_smaller_ones() -> None:
+def test_large_request_gets_slices_while_there_are_always_smaller_ones() -> None:
     """Small requests arrive without an end. A large one was put off for as long as there are any."""
     scheduler, loop = make_scheduler()
     taken: list[str] = []
-    scheduler.add(CountingTaker("large", 5, TURN_BYTES, scheduler, taken))
+    scheduler.add(CountingRunner("large", 5, SLICE_BYTES, scheduler, taken))
     iterations = 0
     while taken.count("large") < 5:
         for _ in range(20):
-            scheduler.add(CountingTaker("small", 1, 500, scheduler, taken))
+            scheduler.add(CountingRunner("small", 1, 500, scheduler, taken))
         loop.run_iteration()
         iterations += 1
         assert iterations <= 500
     assert len(taken) <= 5 * 500
 
 
-def test_connections_that_have_had_their_turn_are_not_kept() -> None:
-    """Turns by arrival leave entries behind in the order of priority, and the other way round."""
+def test_connections_that_have_had_their_slice_are_not_kept() -> None:
+    """Slices by arrival leave entries behind in the order of priority, and the other way round."""
     scheduler, loop = make_scheduler()
     taken: list[str] = []
     for _ in range(2000):
-        scheduler.add(CountingTaker("large", 1, 10 * TURN_BYTES, scheduler, taken))
-        scheduler.add(CountingTaker("small", 3, 500, scheduler, taken))
+        scheduler.add(CountingRunner("large", 1, 10 * SLICE_BYTES, scheduler, taken))
+        scheduler.add(CountingRunner("small", 3, 500, scheduler, taken))
         loop.run_iteration()
         kept = max(len(scheduler._by_priority), len(scheduler._by_arrival))
         assert kept <= MAX_ENTRIES_PER_WAITING * (scheduler._waiting_count + 1)
@@ -141,26 +141,26 @@
 def test_small_reads_are_admitted_up_to_the_limit_of_a_tick() -> None:
     """Many clients send small requests that cost much, all in one iteration of the event loop."""
     scheduler, loop = make_scheduler()
-    assert not scheduler.admits(TURN_BYTES + 1, now_s=1.0)
-    for _ in range(MAX_COST_PER_ITERATION // TURN_BYTES):
-        assert scheduler.admits(TURN_BYTES, now_s=1.0)
-        scheduler.spend(TURN_BYTES)
+    assert not scheduler.admits(SLICE_BYTES + 1, now_s=1.0)
+    for _ in range(MAX_COST_PER_ITERATION // SLICE_BYTES):
+        assert scheduler.admits(SLICE_BYTES, now_s=1.0)
+        scheduler.spend(SLICE_BYTES)
     assert not scheduler.admits(10, now_s=1.0)
     assert scheduler.admits(10, now_s=1.001)
     taken: list[str] = []
-    scheduler.add(CountingTaker("waiting", 1, 10, scheduler, taken))
+    scheduler.add(CountingRunner("waiting", 1, 10, scheduler, taken))
     assert not scheduler.admits(10, now_s=1.002)  # it would pass those that wait
     loop.run_iteration()
     assert scheduler.admits(10, now_s=1.002)
 
 
-def test_turn_that_fails_does_not_end_the_turns_of_the_others() -> None:
+def test_slice_that_fails_does_not_end_the_slices_of_the_others() -> None:
     scheduler, loop = make_scheduler()
     taken: list[str] = []
-    failing = CountingTaker("failing", 1, 10, scheduler, taken)
+    failing = CountingRunner("failing", 1, 10, scheduler, taken)
     failing.fails = True
     scheduler.add(failing)
-    scheduler.add(CountingTaker("other", 1, 20, scheduler, taken))
+    scheduler.add(CountingRunner("other", 1, 20, scheduler, taken))
     with pytest.raises(RuntimeError):
         loop.run_iteration()
     loop.run_iteration()
@@ -199,7 +199,7 @@
 
 @uvloop_test
 async def test_reading_pauses_until_a_large_read_has_been_parsed() -> None:
-    """A client goes on sending while its large read waits for turns. Reading on would fill the memory."""
+    """A client goes on sending while its large read waits for slices. Reading on would fill the memory."""
     async with running_server(ScriptedDecider(reject_all)) as server:
         [(reader, _)] = await connect_clients(server, 1)
         connection = only_connection(server)
@@ -213,7 +213,7 @@
 
 
 @uvloop_test
-async def test_client_that_goes_on_sending_after_its_last_response_is_read_in_turns() -> None:
+async def test_client_that_goes_on_sending_after_its_last_response_is_read_in_slices() -> None:
     """A connection closes after an error, and its client goes on sending at full speed. Reading all of it
     took as much processor time as the client could use; not reading would reset the connection."""
     async with running_server(ScriptedDecider(leave_pending)) as server:
@@ -222,20 +222,20 @@
         assert connection.transport is not None
         connection.data_received(b"noise\r\n\r\n")
         assert connection.state is ClientState.CLOSING and connection.transport.is_reading()
-        connection.data_received(bytes(TURN_BYTES + 1))
+        connection.data_received(bytes(SLICE_BYTES + 1))
         assert not connection.transport.is_reading()
         await wait_until(connection.transport.is_reading)
         assert (await read_until_closed(reader)).startswith(b"HTTP/1.1 400 ")
 
 
-def parse_in_turns(server: RunningServer, connection: ClientConnection, data: bytes) -> None:
-    """Let the connection receive `data` as a read that waits for turns."""
+def parse_in_slices(server: RunningServer, connection: ClientConnection, data: bytes) -> None:
+    """Let the connection receive `data` as a read that waits for slices."""
     connection.reader._defer(connection, data)
 
 
 @uvloop_test
-async def test_time_that_a_read_waits_for_turns_does_not_count_as_the_clients() -> None:
-    """A request waits for turns longer than its request timeout, and its client then sends the rest."""
+async def test_time_that_a_read_waits_for_slices_does_not_count_as_the_clients() -> None:
+    """A request waits for slices longer than its request timeout, and its client then sends the rest."""
     async with running_server(ScriptedDecider(reject_all)) as server:
         [(reader, writer)] = await connect_clients(server, 1)
         connection = only_connection(server)
@@ -243,7 +243,7 @@
         request = make_request()
         connection.data_received(request[:20])
         clock.advance(0.5)
-        parse_in_turns(server, connection, request[20:40])
+        parse_in_slices(server, connection, request[20:40])
         clock.advance(REQUEST_TIMEOUT_S)
         assert connection.state is ClientState.OPEN
         await wait_until(lambda: not connection.reader.backlog)
@@ -254,8 +254,8 @@
 
 
 @uvloop_test
-async def test_waiting_for_turns_does_not_extend_a_slow_request() -> None:
-    """A client sends its request in many reads that each wait for a turn. Its request timeout must still
+async def test_waiting_for_slices_does_not_extend_a_slow_request() -> None:
+    """A client sends its request in many reads that each wait for a slice. Its request timeout must still
     apply to the whole request."""
     async with running_server(ScriptedDecider(reject_all)) as server:
         [(reader, _)] = await connect_clients(server, 1)
@@ -263,7 +263,7 @@
         clock = ManualClock(server.clients)
         request = make_request()
         for position in range(4):
-            parse_in_turns(server, connection, request[position : position + 1])
+            parse_in_slices(server, connection, request[position : position + 1])
             await wait_until(lambda: not connection.reader.backlog)
             clock.advance(REQUEST_TIMEOUT_S / 4 + 0.01)
         assert (await read_message(reader))[0].split()[1] == "408"
--- a/yardlane/proxy/client_reader.py
+++ b/yardlane/proxy/client_reader.py
@@ -1,7 +1,7 @@
 """Reads the requests of one client connection, and limits what this costs the other connections.
 
 A small read is parsed when it arrives, if the connection may have another request and `ReadScheduler`
-admits it. All other reads wait in a backlog and are parsed in turns. A read that has been begun is parsed to
+admits it. All other reads wait in a backlog and are parsed in slices. A read that has been begun is parsed to
 its end; requests in it beyond those that may be pending are refused (`ClientConnection.on_request`).
 
 Reading goes on while the connection may not have another request. Otherwise the end of the connection, which
@@ -10,7 +10,7 @@
 
 - while the client does not read its responses,
 - while a large backlog is being parsed, and
-- after a large read that is discarded, until the next turn.
+- after a large read that is discarded, until the next slice.
 """
 
 from __future__ import annotations
@@ -23,12 +23,12 @@
 from yardlane.proxy.client_response import Status
 from yardlane.proxy.client_state import ClientState
 from yardlane.proxy.read_backlog import ReadBacklog
-from yardlane.proxy.read_scheduler import DISCARD_COST, REQUEST_COST, TURN_BYTES, ReadScheduler
+from yardlane.proxy.read_scheduler import DISCARD_COST, REQUEST_COST, SLICE_BYTES, ReadScheduler
 from yardlane.proxy.request_parser import RequestParser, RequestReceiver
 
 # A backlog that is being parsed pauses reading from this size on. So the large reads of one iteration of the
 # event loop are limited as well.
-PAUSE_BACKLOG_BYTES = TURN_BYTES
+PAUSE_BACKLOG_BYTES = SLICE_BYTES
 # A backlog that waits for the responses to earlier requests is refused beyond this size.
 MAX_BACKLOG_BYTES = 262_144
 RECENT_COST_DECAY = 2  # divisor, at each check of the timeouts
@@ -93,7 +93,7 @@
         self.read_at_s = server.loop_time_s()  # when the bytes that are being parsed were taken up
         self.request_timeout_started_s = self.read_at_s
         self._waiting_since_s = self.read_at_s  # the time since which the backlog has waited
-        self._is_waiting = False  # for a turn
+        self._is_waiting = False  # for a slice
         self._has_unfinished_request = False  # `ClientMemory` counts bytes of this connection
 
     def is_idle(self) -> bool:
@@ -139,13 +139,13 @@
 
     def _discard(self, transport: asyncio.Transport | None, received_bytes: int) -> None:
         """Pause reading after a large read, so that a client that goes on sending costs a bounded rate."""
-        if received_bytes <= TURN_BYTES or self._is_waiting or transport is None or transport.is_closing():
+        if received_bytes <= SLICE_BYTES or self._is_waiting or transport is None or transport.is_closing():
             return
         transport.pause_reading()
-        self._wait_for_turn()
+        self._wait_for_slice()
 
     def _defer(self, connection: ReaderConnection, data: bytes) -> None:
-        """Add a read to the backlog, and wait for a turn if it may be parsed."""
+        """Add a read to the backlog, and wait for a slice if it may be parsed."""
         if not self.backlog:
             self._waiting_since_s = self._server.loop_time_s()
         self.backlog.add(data)
@@ -162,20 +162,20 @@
         return self.backlog.is_within_read() or connection.may_begin_read()
 
     def continue_parsing(self) -> None:
-        """Wait for a turn if the backlog may be parsed. Called when `may_begin_read` may have changed."""
+        """Wait for a slice if the backlog may be parsed. Called when `may_begin_read` may have changed."""
         connection = self._connection
         if connection is not None and self.backlog and not self._is_waiting and self._may_parse(connection):
-            self._wait_for_turn()
+            self._wait_for_slice()
 
-    def _wait_for_turn(self) -> None:
+    def _wait_for_slice(self) -> None:
         self._is_waiting = True
         self._server.read_scheduler.add(self)
 
-    def turn_priority(self) -> int:
-        """Return the work that is left or was done recently, as a cost; the lowest has the next turn."""
+    def slice_priority(self) -> int:
+        """Return the work that is left or was done recently, as a cost; the lowest has the next slice."""
         return self.backlog.left_bytes() + int(RECENT_COST_WEIGHT * self.recent_cost)
 
-    def take_turn(self) -> int:
+    def run_slice(self) -> int:
         """Called by the scheduler; parse a part of the backlog, or go on reading bytes to discard."""
         self._is_waiting = False
         connection = self._connection
@@ -193,7 +193,7 @@
         if not self.backlog.is_within_read():
             self.requests_in_read = 0
         body_bytes = len(self.parser.body)
-        cost = self._parse(connection, self.backlog.take(TURN_BYTES))
+        cost = self._parse(connection, self.backlog.take(SLICE_BYTES))
         # A body without small chunks costs next to nothing. If the body has ended, this is not positive.
         cost -= max(0, len(self.parser.body) - body_bytes)
         self.continue_parsing()
