Handle usual requests with fewer calls, so that the limits cost next to nothing

A small read is charged when it is admitted, small requests are not counted, and an empty backlog is seen without a call.

--- a/yardlane/proxy/client_connection.py
+++ b/yardlane/proxy/client_connection.py
@@ -13,13 +13,13 @@
 from typing import Protocol, cast
 
 from yardlane.errors import FatalRequestError, InvalidRequest
-from yardlane.proxy.client_memory import ClientMemory
+from yardlane.proxy.client_memory import SMALL_REQUEST_BYTES, ClientMemory
 from yardlane.proxy.client_reader import ClientReader
 from yardlane.proxy.client_request import ClientRequest, RequestHandler
 from yardlane.proxy.client_response import CONTINUE_RESPONSE, Status, encode_response
 from yardlane.proxy.client_state import TRANSITIONS, ClientEvent, ClientState
 from yardlane.proxy.read_scheduler import ReadScheduler
-from yardlane.proxy.request_validation import ParsedRequest, RequestRules, parse_request
+from yardlane.proxy.request_validation import RequestRules, parse_request
 from yardlane.proxy.socket_probe import SocketProbe
 
 log = logging.getLogger("yardlane.proxy.client_connection")
@@ -118,7 +118,8 @@
         self.pending = deque()
         for request in released:
             if not request.response:
-                self._release_request(request)
+                if request.counted_bytes:
+                    self._release_memory(request)
                 self.server.handler.on_client_disconnected(request)
 
     def _on_closed(self) -> None:
@@ -234,7 +235,9 @@
         try:
             handler = self.server.handler
             parsed = parse_request(self.parser, self.server.rules, handler.open_trace_ids)
-            self._count_pending_request(request, parsed)
+            request_bytes = len(parsed.head) + len(parsed.body)
+            if request_bytes > SMALL_REQUEST_BYTES:
+                self._count_pending_request(request, request_bytes)
             request.parsed = parsed
             handler.handle_request(request, parsed)
         except InvalidRequest as error:
@@ -259,10 +262,11 @@
         if request.response or transport is None or transport.is_closing():
             return
         server = self.server
-        is_newest = request is self.pending[-1] and not self.reader.backlog
+        is_newest = request is self.pending[-1] and not self.reader.backlog.held_bytes
         if is_newest and (server.is_draining or server.is_above_high_watermark()):
             self._close_after(request)  # closing after an earlier request would lose the later responses
-        self._release_request(request)
+        if request.counted_bytes:
+            self._release_memory(request)
         request.response = encode_response(status, body, header_lines, request.closes_connection)
         if self._write_ready_responses(transport):
             self._begin_lingering_close()
@@ -274,7 +278,8 @@
             # The newest response was encoded before draining began, so it does not announce the close.
             self.close_idle()
             return
-        self.reader.continue_parsing()
+        if self.reader.backlog.held_bytes:
+            self.reader.continue_parsing()
 
     def _write_ready_responses(self, transport: asyncio.Transport) -> bool:
         """Write the responses to all requests before the oldest unanswered one.
@@ -289,17 +294,16 @@
                 return True
         return False
 
-    def _release_request(self, request: ClientRequest) -> None:
-        """Stop counting the bytes of a request that is answered or can no longer be."""
-        if request.counted_bytes:
-            self.server.memory.remove_pending(request.counted_bytes)
-            request.counted_bytes = 0
+    def _release_memory(self, request: ClientRequest) -> None:
+        """Stop counting the bytes of a large request that is answered or can no longer be."""
+        self.server.memory.remove_pending(request.counted_bytes)
+        request.counted_bytes = 0
 
     # Memory
 
-    def _count_pending_request(self, request: ClientRequest, parsed: ParsedRequest) -> None:
-        """Count a complete request. Raises `InvalidRequest` if clients hold too many bytes already."""
-        counted_bytes = self.server.memory.add_pending(len(parsed.head) + len(parsed.body))
+    def _count_pending_request(self, request: ClientRequest, request_bytes: int) -> None:
+        """Count a large request. Raises `InvalidRequest` if clients hold too many bytes already."""
+        counted_bytes = self.server.memory.add_pending(request_bytes)
         if counted_bytes is None:
             raise InvalidRequest(Status.SERVICE_UNAVAILABLE, "too many large requests at once")
         request.counted_bytes = counted_bytes
--- a/yardlane/proxy/client_memory.py
+++ b/yardlane/proxy/client_memory.py
@@ -76,12 +76,11 @@
         self._set(self._unsent, holder, held_bytes)
 
     def add_pending(self, request_bytes: int) -> int | None:
-        """Count a request that is about to be forwarded, and return what `remove_pending` has to be given.
+        """Count a large request that is about to be forwarded.
 
-        Return None if it would exceed the limit; it must be refused then.
+        Return what `remove_pending` has to be given, or None if the request would exceed the limit and has to
+        be refused.
         """
-        if request_bytes <= SMALL_REQUEST_BYTES:
-            return 0
         pending_bytes = COPIES_OF_PENDING_REQUEST * request_bytes
         if self.pending_bytes + pending_bytes > self.limits.pending_bytes:
             return None
--- a/yardlane/proxy/client_reader.py
+++ b/yardlane/proxy/client_reader.py
@@ -125,17 +125,20 @@
         if connection.state is not OPEN:
             self._discard(connection.transport, len(data))
             return
-        if self.backlog or not connection.may_begin_read():
+        if self.backlog.held_bytes or not connection.may_begin_read():
             self._defer(connection, data)
             return
         now_s = self._server.loop_time_s()
         scheduler = self._server.read_scheduler
-        if not scheduler.admits(len(data), now_s):
+        expected_cost = len(data) + REQUEST_COST
+        if not scheduler.admits(expected_cost, now_s):
             self._defer(connection, data)
             return
         self.requests_in_read = 0
         self.read_at_s = now_s
-        scheduler.spend(self._parse(connection, data))
+        cost = self._parse(connection, data)
+        if cost > expected_cost:  # it contained several requests
+            scheduler.spend(cost - expected_cost)
 
     def _discard(self, transport: asyncio.Transport | None, received_bytes: int) -> None:
         """Pause reading after a large read, so that a client that goes on sending costs a bounded rate."""
--- a/yardlane/proxy/read_scheduler.py
+++ b/yardlane/proxy/read_scheduler.py
@@ -30,6 +30,7 @@
 # The cost of work is stated in bytes: those that are parsed, and for each request, which may be answered at
 # once, the bytes that can be parsed in the same time.
 REQUEST_COST = 256
+MAX_COST_AT_ONCE = SLICE_BYTES + REQUEST_COST  # of a read that is parsed when it arrives
 # The cost of reading bytes that are discarded, whatever their number.
 DISCARD_COST = 2_048
 
@@ -69,17 +70,20 @@
         self._tick_s = 0.0
         self._left_in_tick = MAX_COST_PER_ITERATION
 
-    def admits(self, read_bytes: int, now_s: float) -> bool:
-        """Return whether a read may be parsed at once. If so, `spend` has to be called with its cost."""
-        if read_bytes > SLICE_BYTES or self._waiting_count:
+    def admits(self, cost: int, now_s: float) -> bool:
+        """Return whether a read with this expected cost may be parsed at once; if so, count the cost."""
+        if cost > MAX_COST_AT_ONCE or self._waiting_count:
             return False
         if now_s != self._tick_s:
             self._tick_s = now_s
             self._left_in_tick = MAX_COST_PER_ITERATION
-        return self._left_in_tick > 0
+        if self._left_in_tick <= 0:
+            return False
+        self._left_in_tick -= cost
+        return True
 
     def spend(self, cost: int) -> None:
-        """Count work that was done at once."""
+        """Count work that was done at once beyond its expected cost."""
         self._left_in_tick -= cost
 
     def add(self, runner: SliceRunner) -> None:
--- a/yardlane/proxy/response.py
+++ b/yardlane/proxy/response.py
@@ -172,7 +172,7 @@
         if self.is_complete:
             raise MalformedResponse("more than one response to a request")
         self._meter.has_boundary = True
-        self._framing.begin()
+        self._framing.has_framing_header = False
         self.response = UpstreamResponse()
         self.body = b""
         self.head_bytes = 0
--- a/yardlane/proxy/response_framing.py
+++ b/yardlane/proxy/response_framing.py
@@ -28,7 +28,6 @@
     def begin(self) -> None:
         """Called when a response begins."""
         self.has_framing_header = False
-        self.is_in_body = False
 
     def on_header(self, key: bytes) -> None:
         """Called for each header with its name in lower case."""
