Call bytes that wait in memory buffered, and read the limits of the process in one place

'Held' is a word of the earlier style. Names, texts and one function of the configuration; the probe says so when its front door could not start.

--- a/tests/flood_probe.py
+++ b/tests/flood_probe.py
@@ -25,7 +25,7 @@
 
 from tests.bad_clients import BEHAVIOURS
 from tests.discovery_responses import delta_response, snapshot_response
-from tests.front_door_process import free_port, start_process
+from tests.front_door_process import free_port, peak_memory_mb, start_process
 from tests.loopback import make_request, make_response, member_dict, read_message, settings_dict
 
 BACKENDS = 9
@@ -188,7 +188,7 @@
     with tempfile.TemporaryDirectory() as folder:
         process = await start_process(Path(folder) / "config.json", configuration, options.descriptors)
         try:
-            await wait_until_ready(port)
+            await wait_until_ready(process, port)
             yield process, port
         finally:
             with suppress(ProcessLookupError):
@@ -200,9 +200,9 @@
                 task.cancel()
 
 
-async def wait_until_ready(port: int) -> None:
-    """Wait until the health check passes."""
-    while True:
+async def wait_until_ready(process: asyncio.subprocess.Process, port: int) -> None:
+    """Wait until the health check passes. Raises RuntimeError if the front door has ended."""
+    while process.returncode is None:
         with suppress(OSError, asyncio.IncompleteReadError):
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
             writer.write(b"GET /_health HTTP/1.1\r\nHost: svc\r\n\r\n")
@@ -211,6 +211,7 @@
             if line.split()[1] == "200":
                 return
         await asyncio.sleep(0.01)
+    raise RuntimeError("the front door has ended, perhaps because another process has taken its port")
 
 
 def cpu_seconds(process_id: int) -> float:
@@ -219,14 +220,6 @@
     return (int(values[11]) + int(values[12])) / os.sysconf("SC_CLK_TCK")
 
 
-def peak_memory_mb(process_id: int) -> float:
-    """Return the peak resident memory of a process in MB (`VmHWM` in proc(5), which counts in KB)."""
-    for line in Path(f"/proc/{process_id}/status").read_text().splitlines():
-        if line.startswith("VmHWM:"):
-            return int(line.split()[1]) / 1024
-    raise AssertionError("the process has ended")
-
-
 async def probe(options: ProbeOptions) -> ProbeResult:
     """Measure usual clients without and then beside the bad clients."""
     async with running_front_door(options) as (process, port):
--- a/tests/front_door_process.py
+++ b/tests/front_door_process.py
@@ -32,3 +32,11 @@
     """Return a port of 127.0.0.1 on which no process listens."""
     async with FakeServer() as server:
         return server.port
+
+
+def peak_memory_mb(process_id: int) -> float:
+    """Return the peak resident memory of a process in MB (`VmHWM` in proc(5), which counts in KB)."""
+    for line in Path(f"/proc/{process_id}/status").read_text().splitlines():
+        if line.startswith("VmHWM:"):
+            return int(line.split()[1]) / 1024
+    raise AssertionError("the process has ended")
--- a/tests/proxy/test_client_departure.py
+++ b/tests/proxy/test_client_departure.py
@@ -133,10 +133,10 @@
         await wait_until(lambda: len(connection.pending) == MAX_PENDING_REQUESTS)
         connection.data_received(bytes(MAX_BACKLOG_BYTES))
         states = [connection.state]
-        assert server.clients.memory.held_bytes >= MAX_BACKLOG_BYTES
+        assert server.clients.memory.buffered_bytes >= MAX_BACKLOG_BYTES
         connection.data_received(b"x")
         assert [*states, connection.state] == [ClientState.OPEN, ClientState.ERROR_PENDING]
-        assert server.clients.memory.held_bytes == 0 and not connection.reader.backlog
+        assert server.clients.memory.buffered_bytes == 0 and not connection.reader.backlog
         for request_id in list(server.proxy.requests):
             server.proxy.fail_request(request_id)
         statuses = [await read_status(reader) for _ in range(MAX_PENDING_REQUESTS + 1)]
--- a/tests/proxy/test_client_memory.py
+++ b/tests/proxy/test_client_memory.py
@@ -56,14 +56,14 @@
     for holder in holders:
         memory.set_unfinished(holder, 20)
     memory.set_unfinished(holders[0], 40)  # grows and stays the oldest
-    assert memory.held_bytes == 100 and not any(holder.calls for holder in holders)
+    assert memory.buffered_bytes == 100 and not any(holder.calls for holder in holders)
     memory.set_unfinished(holders[3], 50)
     assert [holder.calls for holder in holders] == [["refuse"], [], [], []]
-    assert memory.held_bytes == 90
+    assert memory.buffered_bytes == 90
     memory.set_unfinished(holders[0], 0)
     memory.set_unfinished(holders[1], 110)
     assert [holder.calls for holder in holders] == [["refuse"], ["refuse"], [], []]
-    assert memory.held_bytes == 70
+    assert memory.buffered_bytes == 70
 
 
 def test_clients_that_do_not_read_are_closed_before_unfinished_requests() -> None:
@@ -72,7 +72,7 @@
     writer = RecordingHolder()
     memory.set_unfinished(writer, 60)
     memory.set_unsent(reader, 60)
-    assert (reader.calls, writer.calls, memory.held_bytes) == (["abort"], [], 60)
+    assert (reader.calls, writer.calls, memory.buffered_bytes) == (["abort"], [], 60)
 
 
 def test_pending_requests_are_refused_beyond_the_limit() -> None:
@@ -100,16 +100,16 @@
         memory.limits = ClientMemoryLimits(3 * BODY_BYTES + HEADS_BYTES, memory.limits.pending_bytes)
         clients = [await server.connect_client() for _ in range(3)]
         clients[0][1].write(LARGE_REQUEST[:-1])
-        await wait_until(lambda: memory.held_bytes >= BODY_BYTES)
+        await wait_until(lambda: memory.buffered_bytes >= BODY_BYTES)
         clients[1][1].write(LARGE_REQUEST[:-1])
-        await wait_until(lambda: memory.held_bytes >= 2 * BODY_BYTES)
+        await wait_until(lambda: memory.buffered_bytes >= 2 * BODY_BYTES)
         clients[2][1].write(LARGE_REQUEST[:-1])
         assert await read_status(clients[0][0]) == "503"
         assert await clients[0][0].read() == b""
         for reader, writer in clients[1:]:
             writer.write(LARGE_REQUEST[-1:])
             assert await read_status(reader) == "429"
-        assert memory.held_bytes == 0
+        assert memory.buffered_bytes == 0
 
 
 @uvloop_test
@@ -119,7 +119,7 @@
     async with running_server(decider) as server:
         memory = server.clients.memory
         max_pending_bytes = COPIES_OF_PENDING_REQUEST * (BODY_BYTES + HEADS_BYTES)
-        memory.limits = ClientMemoryLimits(memory.limits.held_bytes, max_pending_bytes)
+        memory.limits = ClientMemoryLimits(memory.limits.buffered_bytes, max_pending_bytes)
         first = await server.connect_client()
         first[1].write(LARGE_REQUEST)
         await decider.wait_for(RequestArrived)
@@ -169,11 +169,11 @@
             number += 1
             to_server.write(make_request(trace=f"a{number}"))
             await asyncio.sleep(0.001)
-        assert 0 < memory.held_bytes <= memory.limits.held_bytes
-        memory.limits = ClientMemoryLimits(memory.held_bytes - 1, 0)
+        assert 0 < memory.buffered_bytes <= memory.limits.buffered_bytes
+        memory.limits = ClientMemoryLimits(memory.buffered_bytes - 1, 0)
         memory.set_unfinished(RecordingHolder(), 1)
         assert not server.clients.connections
-        assert memory.held_bytes == 1
+        assert memory.buffered_bytes == 1
         serving.cancel()
 
 
--- a/tests/proxy/test_read_scheduler.py
+++ b/tests/proxy/test_read_scheduler.py
@@ -177,7 +177,7 @@
     sizes = []
     while backlog:
         parts.append(bytes(backlog.take(3)))
-        sizes.append((backlog.is_within_read(), backlog.left_bytes(), backlog.held_bytes))
+        sizes.append((backlog.is_within_read(), backlog.left_bytes(), backlog.buffered_bytes))
     assert parts == [b"abc", b"de", b"fg"]
     assert sizes == [(True, 4, 7), (False, 2, 2), (False, 0, 0)]
 
--- a/tests/proxy/test_request_limits.py
+++ b/tests/proxy/test_request_limits.py
@@ -216,7 +216,7 @@
                 writer.write(request)
                 assert await read_status(reader) == "429"
             gc.collect()
-            held_bytes, _ = tracemalloc.get_traced_memory()
+            buffered_bytes, _ = tracemalloc.get_traced_memory()
         finally:
             tracemalloc.stop()
-        assert held_bytes <= client_count * MAX_HEAD_BYTES
+        assert buffered_bytes <= client_count * MAX_HEAD_BYTES
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tests.front_door_process import free_port, start_process
+from tests.front_door_process import free_port, peak_memory_mb, start_process
 from tests.loopback import (
     HEALTH_CHECK,
     FakeServer,
@@ -34,14 +34,6 @@
 )
 
 
-def peak_memory_mb(process: asyncio.subprocess.Process) -> float:
-    """Return the peak resident memory of a process in MB (`VmHWM` in proc(5), which counts in KB)."""
-    for line in Path(f"/proc/{process.pid}/status").read_text().splitlines():
-        if line.startswith("VmHWM:"):
-            return int(line.split()[1]) / 1024
-    raise AssertionError("the process has ended")
-
-
 @asynccontextmanager
 async def running_process(
     tmp_path: Path, descriptors: int = DESCRIPTORS, memory_mb: int = MEMORY_LIMIT_MB
@@ -98,7 +90,7 @@
             (await send_until_answered(port, HEALTH_CHECK)).close()
             clients = (send_until_answered(port, request_bytes) for _ in range(CLIENT_COUNT))
             writers = await asyncio.gather(*clients)
-            assert peak_memory_mb(process) <= MEMORY_LIMIT_MB
+            assert peak_memory_mb(process.pid) <= MEMORY_LIMIT_MB
             for writer in writers:
                 writer.transport.abort()
 
@@ -146,7 +138,7 @@
             (await send_until_answered(port, HEALTH_CHECK)).close()
             clients = (send(port, number) for number in range(SMALL_CLIENT_COUNT))
             writers = await asyncio.gather(*clients)
-            assert peak_memory_mb(process) <= SMALL_MEMORY_LIMIT_MB
+            assert peak_memory_mb(process.pid) <= SMALL_MEMORY_LIMIT_MB
             for writer in writers:
                 writer.transport.abort()
 
--- a/yardlane/config.py
+++ b/yardlane/config.py
@@ -10,7 +10,7 @@
 import json
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, NamedTuple
 
 from yardlane.decisions.settings import Settings
 from yardlane.errors import ConfigError, SettingsError
@@ -59,6 +59,13 @@
     """How long an upstream keeps an idle connection open."""
 
 
+class ProcessLimits(NamedTuple):
+    """The limits of the process from the configuration file."""
+
+    descriptors: int
+    memory_mb: int
+
+
 def load_config(environ: Mapping[str, str], is_reload: bool = False) -> Config:
     """Load the file that `EDGE_CONFIG` names, and apply the variables of `ENVIRONMENT_OVERRIDES`.
 
@@ -92,19 +99,15 @@
     counter = document.get("counter")
     if settings.has_shared_counter and not counter:
         raise ConfigError("counter is missing, but settings.family_info.shared_counter is true")
-    limits = document.get("limits") or {}
-    if not isinstance(limits, dict):
-        raise ConfigError(f"limits is {limits!r}: must be a JSON object")
-    descriptors = _parse_limit(limits, "sockets", DEFAULT_DESCRIPTORS)
-    memory_limit_mb = _parse_limit(limits, "memory_mb", DEFAULT_MEMORY_MB)
+    limits = _parse_limits(document.get("limits") or {})
     seed = _parse_seed(document.get("seed") or "0")
     return Config(
         listen=parse_address(document.get("listen"), "listen"),
         discovery=parse_address(document.get("discovery"), "discovery"),
         counter=parse_address(counter, "counter") if counter else None,
         seed=seed,
-        max_descriptors=descriptors,
-        memory_limit_mb=memory_limit_mb,
+        max_descriptors=limits.descriptors,
+        memory_limit_mb=limits.memory_mb,
         cached_endpoint_list=document.get("known"),
         settings=settings,
         request_class_names=_read_names(reader, "profiles", len(settings.request_classes)),
@@ -172,6 +175,15 @@
     return port if 0 < port <= MAX_PORT else None
 
 
+def _parse_limits(limits: object) -> ProcessLimits:
+    if not isinstance(limits, dict):
+        raise ConfigError(f"limits is {limits!r}: must be a JSON object")
+    return ProcessLimits(
+        _parse_limit(limits, "sockets", DEFAULT_DESCRIPTORS),
+        _parse_limit(limits, "memory_mb", DEFAULT_MEMORY_MB),
+    )
+
+
 def _parse_limit(limits: Mapping[str, Any], name: str, default: int) -> int:
     """Return the limit `name` of the configuration, or the default if it is missing, 0 or null."""
     value = limits.get(name) or default
--- a/yardlane/proxy/client_connection.py
+++ b/yardlane/proxy/client_connection.py
@@ -262,7 +262,7 @@
         if request.response or transport is None or transport.is_closing():
             return
         server = self.server
-        is_newest = request is self.pending[-1] and not self.reader.backlog.held_bytes
+        is_newest = request is self.pending[-1] and not self.reader.backlog.buffered_bytes
         if is_newest and (server.is_draining or server.is_above_high_watermark()):
             self._close_after(request)  # closing after an earlier request would lose the later responses
         if request.counted_bytes:
@@ -278,7 +278,7 @@
             # The newest response was encoded before draining began, so it does not announce the close.
             self.close_idle()
             return
-        if self.reader.backlog.held_bytes:
+        if self.reader.backlog.buffered_bytes:
             self.reader.continue_parsing()
 
     def _write_ready_responses(self, transport: asyncio.Transport) -> bool:
--- a/yardlane/proxy/client_memory.py
+++ b/yardlane/proxy/client_memory.py
@@ -3,8 +3,8 @@
 The limits on a single message bound what one connection holds. The sum over all connections may still exceed
 the memory of the process, so there are limits on sums:
 
-- **Held bytes**: what has been read of requests whose end has not arrived, and responses on connections whose
-  write buffer is full because the client does not read. At the limit, the oldest connection with such
+- **Buffered bytes**: what has been read of requests whose end has not arrived, and responses on connections
+  whose write buffer is full because the client does not read. At the limit, the oldest connection with such
   responses is closed, then the oldest unfinished request is refused, until the sum is within the limit.
 - **Pending bytes**: requests that wait for their response, with more than `SMALL_REQUEST_BYTES` each. They
   count twice: the request, and its copy for an attempt. A request that would exceed the limit is refused.
@@ -26,7 +26,7 @@
 RESERVED_BYTES = 40 * BYTES_PER_MB
 # Shares of the rest. What they leave is for upstreams, the endpoint list, and for what the memory allocator
 # cannot reuse.
-HELD_SHARE = 0.4
+BUFFERED_SHARE = 0.4
 PENDING_SHARE = 0.2
 MIN_BYTES = 2 * BYTES_PER_MB  # of each sum
 
@@ -34,7 +34,7 @@
 class ClientMemoryLimits(NamedTuple):
     """The limits on what clients may make the process hold, in bytes."""
 
-    held_bytes: int
+    buffered_bytes: int
     pending_bytes: int
 
 
@@ -42,7 +42,7 @@
     """Return the limits for a process that may use `memory_limit_mb` in all."""
     rest_bytes = memory_limit_mb * BYTES_PER_MB - RESERVED_BYTES
     return ClientMemoryLimits(
-        max(MIN_BYTES, int(HELD_SHARE * rest_bytes)), max(MIN_BYTES, int(PENDING_SHARE * rest_bytes))
+        max(MIN_BYTES, int(BUFFERED_SHARE * rest_bytes)), max(MIN_BYTES, int(PENDING_SHARE * rest_bytes))
     )
 
 
@@ -61,19 +61,19 @@
 
     def __init__(self, limits: ClientMemoryLimits) -> None:
         self.limits = limits
-        self.held_bytes = 0
+        self.buffered_bytes = 0
         self.pending_bytes = 0
         # Both in the order in which the connections began to hold bytes.
         self._unfinished: dict[MemoryHolder, int] = {}
         self._unsent: dict[MemoryHolder, int] = {}
 
-    def set_unfinished(self, holder: MemoryHolder, held_bytes: int) -> None:
+    def set_unfinished(self, holder: MemoryHolder, buffered_bytes: int) -> None:
         """Set what a connection holds of a request that has arrived in part; 0 if there is none."""
-        self._set(self._unfinished, holder, held_bytes)
+        self._set(self._unfinished, holder, buffered_bytes)
 
-    def set_unsent(self, holder: MemoryHolder, held_bytes: int) -> None:
+    def set_unsent(self, holder: MemoryHolder, buffered_bytes: int) -> None:
         """Set what a connection holds of responses that its client does not read; 0 if it reads them."""
-        self._set(self._unsent, holder, held_bytes)
+        self._set(self._unsent, holder, buffered_bytes)
 
     def add_pending(self, request_bytes: int) -> int | None:
         """Count a large request that is about to be forwarded.
@@ -91,21 +91,21 @@
         """Stop counting a request that has ended."""
         self.pending_bytes -= pending_bytes
 
-    def _set(self, sizes: dict[MemoryHolder, int], holder: MemoryHolder, held_bytes: int) -> None:
+    def _set(self, sizes: dict[MemoryHolder, int], holder: MemoryHolder, buffered_bytes: int) -> None:
         old_bytes = sizes.get(holder, 0)
-        self.held_bytes += held_bytes - old_bytes
-        if held_bytes:
-            sizes[holder] = held_bytes  # a holder that is counted already keeps its place
+        self.buffered_bytes += buffered_bytes - old_bytes
+        if buffered_bytes:
+            sizes[holder] = buffered_bytes  # a holder that is counted already keeps its place
         else:
             sizes.pop(holder, None)
-        if held_bytes > old_bytes:
+        if buffered_bytes > old_bytes:
             self._free()
 
     def _free(self) -> None:
         """Close the oldest holders until the sum is within the limit, or nothing is left to free."""
-        while self.held_bytes > self.limits.held_bytes and self._unsent:
+        while self.buffered_bytes > self.limits.buffered_bytes and self._unsent:
             self._remove_oldest(self._unsent).abort()
-        while self.held_bytes > self.limits.held_bytes and self._unfinished:
+        while self.buffered_bytes > self.limits.buffered_bytes and self._unfinished:
             self._remove_oldest(self._unfinished).refuse_unfinished_request()
 
     def _remove_oldest(self, sizes: dict[MemoryHolder, int]) -> MemoryHolder:
--- a/yardlane/proxy/client_reader.py
+++ b/yardlane/proxy/client_reader.py
@@ -125,7 +125,7 @@
         if connection.state is not OPEN:
             self._discard(connection.transport, len(data))
             return
-        if self.backlog.held_bytes or not connection.may_begin_read():
+        if self.backlog.buffered_bytes or not connection.may_begin_read():
             self._defer(connection, data)
             return
         now_s = self._server.loop_time_s()
@@ -152,7 +152,7 @@
         if not self.backlog:
             self._waiting_since_s = self._server.loop_time_s()
         self.backlog.add(data)
-        if self.backlog.held_bytes > MAX_BACKLOG_BYTES and not self._may_parse(connection):
+        if self.backlog.buffered_bytes > MAX_BACKLOG_BYTES and not self._may_parse(connection):
             connection.on_fatal_request_error(
                 FatalRequestError(Status.SERVICE_UNAVAILABLE, "too many requests at once")
             )
@@ -242,7 +242,7 @@
         state = connection.state
         if connection.is_write_buffer_full and (state is OPEN or state is LAST_REQUEST):
             return False
-        return self.backlog.held_bytes < PAUSE_BACKLOG_BYTES or not self._may_parse(connection)
+        return self.backlog.buffered_bytes < PAUSE_BACKLOG_BYTES or not self._may_parse(connection)
 
     def decay_recent_cost(self) -> None:
         """Called at regular intervals; lets earlier work count less."""
@@ -267,6 +267,6 @@
         memory = self._server.memory
         if self.requests_in_read and not self.backlog:
             memory.set_unfinished(connection, 0)  # the request that was counted is complete
-        held_bytes = self.backlog.held_bytes + self.parser.held_bytes()
-        self._has_unfinished_request = held_bytes > 0
-        memory.set_unfinished(connection, held_bytes)
+        buffered_bytes = self.backlog.buffered_bytes + self.parser.buffered_bytes()
+        self._has_unfinished_request = buffered_bytes > 0
+        memory.set_unfinished(connection, buffered_bytes)
--- a/yardlane/proxy/request_parser.py
+++ b/yardlane/proxy/request_parser.py
@@ -115,7 +115,7 @@
             raise _to_client_error(error) from error
         return True
 
-    def held_bytes(self) -> int:
+    def buffered_bytes(self) -> int:
         """Return how many bytes the parser holds of a message that has arrived in part."""
         return self.head_bytes + len(self.body) if self.is_in_message else 0
 
