--- a/tests/proxy/test_client_memory.py
+++ b/tests/proxy/test_client_memory.py
@@ -49,7 +49,9 @@
         self.calls.append("abort")
 
 
-def test_oldest_holders_are_closed_until_the_sum_is_within_the_limit() -> None:
+def test_oldest_holders_are_closed_until_the_sum_is_within_the_limit(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
     """Hundreds of clients stop half way through a request: each is within its limits, and the sum is not."""
     memory = ClientMemory(ClientMemoryLimits(100, 0))
     holders = [RecordingHolder() for _ in range(4)]
@@ -59,6 +61,9 @@
     assert memory.buffered_bytes == 100 and not any(holder.calls for holder in holders)
     memory.set_unfinished(holders[3], 50)
     assert [holder.calls for holder in holders] == [["refuse"], [], [], []]
+    assert caplog.messages == [
+        "130 bytes are buffered for clients, at most 100 are allowed; refusing the oldest unfinished request"
+    ]
     assert memory.buffered_bytes == 90
     memory.set_unfinished(holders[0], 0)
     memory.set_unfinished(holders[1], 110)
--- a/yardlane/proxy/client_memory.py
+++ b/yardlane/proxy/client_memory.py
@@ -14,10 +14,13 @@
 
 from __future__ import annotations
 
+import logging
 from typing import NamedTuple, Protocol
 
 from yardlane.units import BYTES_PER_MB
 
+log = logging.getLogger("yardlane.proxy.client_memory")
+
 # A pending request up to this size is not counted. All pending requests together are limited by the number of
 # connections.
 SMALL_REQUEST_BYTES = 4_096
@@ -83,6 +86,12 @@
         """
         pending_bytes = COPIES_OF_PENDING_REQUEST * request_bytes
         if self.pending_bytes + pending_bytes > self.limits.pending_bytes:
+            log.warning(
+                "large pending requests hold %d bytes, at most %d are allowed; refusing one of %d bytes",
+                self.pending_bytes,
+                self.limits.pending_bytes,
+                request_bytes,
+            )
             return None
         self.pending_bytes += pending_bytes
         return pending_bytes
@@ -104,10 +113,20 @@
     def _free(self) -> None:
         """Close the oldest holders until the sum is within the limit, or nothing is left to free."""
         while self.buffered_bytes > self.limits.buffered_bytes and self._unsent:
+            self._log_excess("closing the connection whose client has not read its responses for longest")
             self._remove_oldest(self._unsent).abort()
         while self.buffered_bytes > self.limits.buffered_bytes and self._unfinished:
+            self._log_excess("refusing the oldest unfinished request")
             self._remove_oldest(self._unfinished).refuse_unfinished_request()
 
+    def _log_excess(self, consequence: str) -> None:
+        log.warning(
+            "%d bytes are buffered for clients, at most %d are allowed; %s",
+            self.buffered_bytes,
+            self.limits.buffered_bytes,
+            consequence,
+        )
+
     def _remove_oldest(self, sizes: dict[MemoryHolder, int]) -> MemoryHolder:
         """Stop counting the holder that has been counted longest, and return it."""
         holder = next(iter(sizes))
