Use the header names, the clock and one filter of connections that exist already

Found on reading the whole change again: response_framing defined framing headers that request_headers has, and two ways to set its fields of which each reader used one; the start of connections had a clock function beside Clock; the pool selected an endpoint's connections in three places; the scheduler chose its end of the queue twice in one loop. Each is there once now.

Behaviour is the same, but for a system clock that is adjusted while the process runs: the start of a connection now follows Clock, as the decisions do for starts.

--- a/yardlane/proxy/clock.py
+++ b/yardlane/proxy/clock.py
@@ -11,11 +11,6 @@
 NS_PER_US = 1000
 
 
-def unix_time_us() -> int:
-    """Return the Unix time in microseconds by the system clock, which may be adjusted at any time."""
-    return time.time_ns() // NS_PER_US
-
-
 class Clock:
     """A monotonic clock in whole microseconds that starts at the Unix time of its creation."""
 
--- a/yardlane/proxy/discovery_connection.py
+++ b/yardlane/proxy/discovery_connection.py
@@ -10,6 +10,7 @@
 from yardlane.config import Address
 from yardlane.errors import DiscoveryError, DiscoveryUnreachable, MessageTooLong
 from yardlane.proxy.message_meter import MessageMeter, parts_of
+from yardlane.proxy.request_headers import FRAMING_HEADERS
 from yardlane.proxy.response_framing import ResponseFraming
 
 MAX_BODY_BYTES = 8_000_000
@@ -109,11 +110,12 @@
 
     def on_message_begin(self) -> None:
         """Called when a response begins."""
-        self.framing.begin()
+        self.framing.has_framing_header = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Called for each header; only those that say where the body ends matter."""
-        self.framing.on_header(name.lower())
+        if name.lower() in FRAMING_HEADERS:
+            self.framing.has_framing_header = True
 
     def on_headers_complete(self) -> None:
         """Called at the end of a head."""
--- a/yardlane/proxy/read_scheduler.py
+++ b/yardlane/proxy/read_scheduler.py
@@ -110,9 +110,10 @@
     def _next_runner(self) -> SliceRunner:
         """Remove and return the connection that has the next slice."""
         is_slice_of_oldest = next(self._slice_numbers) % OLDEST_SLICE_INTERVAL == 0
-        waiting = self._pop_oldest() if is_slice_of_oldest else self._pop_lowest()
+        pop = self._by_arrival.popleft if is_slice_of_oldest else self._pop_lowest
+        waiting = pop()
         while waiting.has_run:
-            waiting = self._pop_oldest() if is_slice_of_oldest else self._pop_lowest()
+            waiting = pop()
         waiting.has_run = True
         self._waiting_count -= 1
         entry_count = max(len(self._by_priority), len(self._by_arrival))
@@ -126,9 +127,6 @@
         heapq.heapify(self._by_priority)
         self._by_arrival = deque(waiting for waiting in self._by_arrival if not waiting.has_run)
 
-    def _pop_oldest(self) -> WaitingRunner:
-        return self._by_arrival.popleft()
-
     def _pop_lowest(self) -> WaitingRunner:
         _, _, waiting = heapq.heappop(self._by_priority)
         return waiting
--- a/yardlane/proxy/request_headers.py
+++ b/yardlane/proxy/request_headers.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+# Of requests and responses.
 CONTENT_LENGTH = b"content-length"
 TRANSFER_ENCODING = b"transfer-encoding"
-EXPECT = b"expect"
 FRAMING_HEADERS = frozenset((CONTENT_LENGTH, TRANSFER_ENCODING))
+EXPECT = b"expect"
 # The headers that describe a request. `request_validation` checks them and fills in `ParsedRequest`.
 TRACE_ID_HEADER = b"x-trace-id"
 REQUEST_CLASS_HEADER = b"x-qos"
--- a/yardlane/proxy/response.py
+++ b/yardlane/proxy/response.py
@@ -8,7 +8,8 @@
 from yardlane.errors import MalformedResponse, MessageTooLong
 from yardlane.proxy.message_body import MAX_BODY_BYTES, Body, append_part
 from yardlane.proxy.message_meter import MAX_HEAD_BYTES, MAX_PART_BYTES, MessageMeter, parts_of
-from yardlane.proxy.response_framing import CONTENT_LENGTH, TRANSFER_ENCODING, ResponseFraming
+from yardlane.proxy.request_headers import CONTENT_LENGTH, TRANSFER_ENCODING
+from yardlane.proxy.response_framing import ResponseFraming
 from yardlane.settings_reader import LOAD_REPORT_FIELDS
 
 # A response that exceeds this limit, `MAX_BODY_BYTES` or a limit of `MessageMeter` is malformed: its attempt
--- a/yardlane/proxy/response_framing.py
+++ b/yardlane/proxy/response_framing.py
@@ -12,28 +12,16 @@
 
 from __future__ import annotations
 
-CONTENT_LENGTH = b"content-length"
-TRANSFER_ENCODING = b"transfer-encoding"
-
 
 class ResponseFraming:
-    """What the head of one response at a time says about the end of its body."""
+    """What the head of one response at a time says about the end of its body. Its reader sets both fields."""
 
     __slots__ = ("has_framing_header", "is_in_body")
 
     def __init__(self) -> None:
-        self.has_framing_header = False
+        self.has_framing_header = False  # since the response began
         self.is_in_body = False  # the head is complete, and the response is not
 
-    def begin(self) -> None:
-        """Called when a response begins."""
-        self.has_framing_header = False
-
-    def on_header(self, key: bytes) -> None:
-        """Called for each header with its name in lower case."""
-        if key in (CONTENT_LENGTH, TRANSFER_ENCODING):
-            self.has_framing_header = True
-
     def ends_with_connection(self) -> bool:
         """Return whether an orderly end of the connection now completes the response."""
         return self.is_in_body and not self.has_framing_header
--- a/yardlane/proxy/upstream_connection.py
+++ b/yardlane/proxy/upstream_connection.py
@@ -15,7 +15,7 @@
 from yardlane.decisions.events import Outcome
 from yardlane.errors import MalformedResponse
 from yardlane.proxy.attempt import Attempt
-from yardlane.proxy.clock import unix_time_us
+from yardlane.proxy.clock import Clock
 from yardlane.proxy.connection_reuse import ReusePolicy
 from yardlane.proxy.response import ResponseReader, outcome_of
 from yardlane.proxy.socket_probe import SocketProbe
@@ -41,6 +41,7 @@
     """The part of the pool's interface that a connection uses."""
 
     loop: asyncio.AbstractEventLoop
+    clock: Clock
     reuse_policy: ReusePolicy
     stall_timeout_s: float
 
@@ -63,7 +64,7 @@
         self.transport: asyncio.Transport | None = None
         self.reader: ResponseReader | None = None
         # True if the upstream announced that it closes the connection or sent malformed bytes (set here), or
-        # if it moved to another address or was removed (set by the pool).
+        # if it moved to another address, restarted or was removed (set by the pool).
         self.closes_after_response = False
         self.established_at_us = 0  # in Unix time; 0: not established yet
         self.idle_since_s = 0.0  # set by the pool, on the event loop's clock
@@ -314,7 +315,7 @@
         """Called when the connection is established; sends the request, or closes if the attempt ended."""
         transport = cast(asyncio.Transport, transport)  # uvloop's is not a subclass of asyncio.Transport
         self.transport = transport
-        self.established_at_us = unix_time_us()
+        self.established_at_us = self.pool.clock.now_us()
         if self.attempt is not None:
             self.attempt.on_connected()  # may finish the attempt, which closes this connection
         if self.attempt is None:  # the attempt ended before or during `on_connected`
--- a/yardlane/proxy/upstream_pool.py
+++ b/yardlane/proxy/upstream_pool.py
@@ -8,6 +8,7 @@
 from yardlane.config import Config
 from yardlane.decisions.events import Outcome
 from yardlane.proxy.attempt import Attempt
+from yardlane.proxy.clock import Clock
 from yardlane.proxy.connection_reuse import ReusePolicy
 from yardlane.proxy.upstream_connection import UpstreamConnection
 from yardlane.proxy.upstream_state import CONNECTING, IDLE
@@ -26,6 +27,7 @@
 
     def __init__(self, config: Config, max_connections: int, loop: asyncio.AbstractEventLoop) -> None:
         self.loop = loop
+        self.clock = Clock()
         self.max_connections = max_connections
         self.connect_timeout_s = config.connect_timeout_us / US_PER_S
         self.stall_timeout_s = RESPONSE_STALL_TIMEOUT_S
@@ -63,13 +65,8 @@
         An attempt continues if any byte of its request has been sent, because a draining upstream counts a
         request as begun from its first byte.
         """
-        connecting = [
-            connection
-            for connection in self.connections
-            if connection.endpoint_id == endpoint_id and connection.state is CONNECTING
-        ]
-        for connection in connecting:
-            if connection.attempt is not None:
+        for connection in self._connections_to(endpoint_id):
+            if connection.state is CONNECTING and connection.attempt is not None:
                 connection.attempt.finish(Outcome.NOT_CONNECTED)
 
     def remove_endpoint(self, endpoint_id: bytes) -> None:
@@ -78,7 +75,7 @@
         Idle connections are closed now, attempts that still wait for a connection end, and busy connections
         are closed after the current request.
         """
-        self._stop_reuse(endpoint_id, [c for c in self.connections if c.endpoint_id == endpoint_id])
+        self._stop_reuse(endpoint_id, self._connections_to(endpoint_id))
 
     def restart_endpoint(self, endpoint_id: bytes, started_at_us: int) -> None:
         """Stop reusing the connections to the process that the endpoint had before it started again.
@@ -88,11 +85,14 @@
         """
         older = [
             connection
-            for connection in self.connections
-            if connection.endpoint_id == endpoint_id and connection.established_at_us < started_at_us
+            for connection in self._connections_to(endpoint_id)
+            if connection.established_at_us < started_at_us
         ]
         self._stop_reuse(endpoint_id, older)
 
+    def _connections_to(self, endpoint_id: bytes) -> list[UpstreamConnection]:
+        return [connection for connection in self.connections if connection.endpoint_id == endpoint_id]
+
     def _stop_reuse(self, endpoint_id: bytes, connections: list[UpstreamConnection]) -> None:
         """Close those of the endpoint's connections that are idle, and the others after their response."""
         self.drain_endpoint(endpoint_id)
