--- a/tests/bad_clients.py
+++ b/tests/bad_clients.py
@@ -17,16 +17,18 @@
 
 import uvloop
 
+from tests.client_side import SMALL_BUFFER_BYTES
 from tests.loopback import HEALTH_CHECK, make_request
+from tests.proxy.message_cuts import chunked
+from yardlane.proxy.client_connection import MAX_PENDING_REQUESTS
+from yardlane.proxy.message_body import MAX_BODY_BYTES
 
 Behaviour = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 READ_BYTES = 65_536
 REQUESTS_AT_ONCE = 100
-REQUESTS_IN_A_ROW = 4  # as many as the front door forwards from one connection at a time
 STOP_S = 3600.0  # longer than any run; a client that stops stays until its connection is closed
-LARGE_BODY_BYTES = 65_536
-SMALL_BUFFER_BYTES = 4096
+LAST_CHUNK = b"0\r\n\r\n"
 GARBAGE = b"\0" * READ_BYTES
 numbers = count(1)
 
@@ -42,7 +44,7 @@
     return request[:-2] + b"a:\r\n" * fields + b"\r\n"
 
 
-def large_request(sent_bytes: int, body_bytes: int = LARGE_BODY_BYTES) -> bytes:
+def large_request(sent_bytes: int, body_bytes: int = MAX_BODY_BYTES) -> bytes:
     """Return a request that announces `body_bytes` and has the first `sent_bytes` of them."""
     request = fresh_request("file", Content_Length=str(body_bytes))
     return request + b"x" * sent_bytes
@@ -90,21 +92,21 @@
 
 async def large_body_that_stops(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     """Stop shortly before the end of the largest body."""
-    writer.write(large_request(LARGE_BODY_BYTES - 1000))
+    writer.write(large_request(MAX_BODY_BYTES - 1000))
     await read_until_end(reader)
 
 
 async def large_body_in_small_chunks(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     """Write the largest body in chunks of one byte, and stop before its end."""
     head = fresh_request("file", Content_Length=None, Transfer_Encoding="chunked")
-    writer.write(head + b"1\r\nx\r\n" * (LARGE_BODY_BYTES - 1))
+    writer.write(head + chunked(MAX_BODY_BYTES - 1, 1).removesuffix(LAST_CHUNK))
     await read_until_end(reader)
 
 
 async def slow_large_body(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     """Write the largest body in pieces of 1,000 bytes, 20 ms apart."""
     reading = asyncio.ensure_future(read_until_end(reader))
-    data = large_request(LARGE_BODY_BYTES - 1)
+    data = large_request(MAX_BODY_BYTES - 1)
     for start in range(0, len(data), 1000):
         writer.write(data[start : start + 1000])
         await asyncio.sleep(0.02)
@@ -113,8 +115,8 @@
 
 async def whole_large_requests(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     """Write as many requests with the largest body as are forwarded at a time, then read."""
-    for _ in range(REQUESTS_IN_A_ROW):
-        writer.write(large_request(LARGE_BODY_BYTES))
+    for _ in range(MAX_PENDING_REQUESTS):
+        writer.write(large_request(MAX_BODY_BYTES))
     await read_until_end(reader)
 
 
@@ -141,7 +143,7 @@
 
 async def health_checks(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     """Write health checks at full speed."""
-    await write_at_full_speed(reader, writer, lambda: HEALTH_CHECK * REQUESTS_IN_A_ROW)
+    await write_at_full_speed(reader, writer, lambda: HEALTH_CHECK * MAX_PENDING_REQUESTS)
 
 
 async def new_accounts(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -178,9 +180,9 @@
 async def whole_requests_in_small_chunks(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     """Write unsound requests with bodies in chunks of three bytes, one after another."""
     head = make_request("none", Transfer_Encoding="chunked")
-    body = b"3\r\nxxx\r\n" * (LARGE_BODY_BYTES // 3) + b"0\r\n\r\n"
+    request = head + chunked(MAX_BODY_BYTES, 3)
     while True:
-        writer.write(head + body)
+        writer.write(request)
         if not await reader.read(READ_BYTES):
             return
 
--- a/tests/client_side.py
+++ b/tests/client_side.py
@@ -11,6 +11,7 @@
     make_request,
     settings_dict,
 )
+from tests.upstream_side import RESET_ON_CLOSE
 from yardlane.proxy.client_connection import ClientConnection
 from yardlane.proxy.client_server import ClientServer
 
@@ -22,6 +23,21 @@
 ]
 
 
+CONCURRENCY_1_SETTINGS = settings_dict(packages=[{**settings_dict()["packages"][0], "concurrency": 1}])
+
+
+def close(writer: asyncio.StreamWriter) -> None:
+    """Let a client close its connection in order."""
+    writer.close()
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Let a client reset its connection."""
+    client_socket = writer.get_extra_info("socket")
+    client_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    writer.transport.abort()
+
+
 class ManualClock:
     """Replaces the clock of a `ClientServer` with one that the test advances."""
 
--- a/tests/flood_probe.py
+++ b/tests/flood_probe.py
@@ -26,7 +26,7 @@
 from tests.bad_clients import BEHAVIOURS
 from tests.discovery_responses import delta_response, snapshot_response
 from tests.front_door_process import free_port, peak_memory_mb, start_process
-from tests.loopback import make_request, make_response, member_dict, read_message, settings_dict
+from tests.loopback import HEALTH_CHECK, make_request, make_response, member_dict, read_message, settings_dict
 
 BACKENDS = 9
 USUAL_CLIENTS = 10
@@ -205,7 +205,7 @@
     while process.returncode is None:
         with suppress(OSError, asyncio.IncompleteReadError):
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
-            writer.write(b"GET /_health HTTP/1.1\r\nHost: svc\r\n\r\n")
+            writer.write(HEALTH_CHECK)
             line, _, _ = await read_message(reader)
             writer.transport.abort()
             if line.split()[1] == "200":
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -405,6 +405,28 @@
         yield server, backend
 
 
+@asynccontextmanager
+async def running_server_with_discovery(
+    decider: Decider | None = None, **changes: Any
+) -> AsyncIterator[tuple[RunningServer, FakeServer]]:
+    """Run the whole program with a fake discovery, whose responses the test writes.
+
+    `changes` are keys of the configuration.
+    """
+    async with (
+        FakeServer() as discovery,
+        running_server(decider, discovery=f"127.0.0.1:{discovery.port}", **changes) as server,
+    ):
+        yield server, discovery
+
+
+async def accept_poll(discovery: FakeServer) -> Streams:
+    """Accept a connection from the discovery client, read its first request, and return the streams."""
+    reader, writer = await discovery.accept_connection()
+    await read_message(reader)
+    return reader, writer
+
+
 async def read_status(reader: asyncio.StreamReader) -> str:
     """Return the status code of the next response."""
     line, _, _ = await read_message(reader)
--- a/tests/proxy/test_client_departure.py
+++ b/tests/proxy/test_client_departure.py
@@ -2,13 +2,20 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 from contextlib import suppress
 
 import pytest
 
-from tests.client_side import connect_clients, only_connection
+from tests.client_side import (
+    CONCURRENCY_1_SETTINGS,
+    close,
+    connect_clients,
+    only_connection,
+    pipelined_requests,
+    reset,
+)
 from tests.loopback import (
-    FakeServer,
     ScriptedDecider,
     forward_all,
     leave_pending,
@@ -18,10 +25,10 @@
     read_status,
     running_server,
     running_server_with_backend,
-    settings_dict,
     uvloop_test,
     wait_until,
 )
+from tests.upstream_side import next_request
 from yardlane.decisions.events import RequestArrived, RequestEnded
 from yardlane.proxy.client_connection import MAX_PENDING_REQUESTS
 from yardlane.proxy.client_reader import MAX_BACKLOG_BYTES
@@ -31,7 +38,6 @@
 # More than the kernel holds for a receiver that does not read.
 UNREAD_BYTES = 8_000_000
 BLOCKED_ITERATIONS = 200
-CONCURRENCY_1_SETTINGS = settings_dict(packages=[{**settings_dict()["packages"][0], "concurrency": 1}])
 
 
 def large_request(number: int) -> bytes:
@@ -76,24 +82,14 @@
         writer.write(make_response())
         assert await read_status(first) == "200"
         to_first.write(make_request(trace="later"))
-        next_reader = await first_to_be_used(reader, backend)
-        assert (await read_message(next_reader))[1]["x-trace-id"] == "later"
+        assert (await next_request(backend, (reader, writer)))[0] == "later"
         assert server.open_request_count == 1
 
 
-async def first_to_be_used(idle: asyncio.StreamReader, backend: FakeServer) -> asyncio.StreamReader:
-    """Return the reader on which the next request arrives: a new connection, or the idle one."""
-    accepting = asyncio.ensure_future(backend.accept_connection())
-    while not accepting.done() and not idle._buffer:  # type: ignore[attr-defined]
-        await asyncio.sleep(0)
-    if accepting.done():
-        return accepting.result()[0]
-    accepting.cancel()
-    return idle
-
-
-@pytest.mark.parametrize("is_reset", [False, True], ids=["close", "reset"])
-def test_client_that_leaves_while_requests_are_pending_is_noticed_at_once(is_reset: bool) -> None:
+@pytest.mark.parametrize("leave", [close, reset])
+def test_client_that_leaves_while_requests_are_pending_is_noticed_at_once(
+    leave: Callable[[asyncio.StreamWriter], None],
+) -> None:
     """A client sends as many requests as may be pending, and a part of another, and leaves.
 
     It was noticed only by the timeout check, up to 0.2 s later.
@@ -105,17 +101,11 @@
         async with running_server(script) as server:
             server.clients.check_all_timeouts = lambda: None  # type: ignore[method-assign]
             _, writer = await server.connect_client()
-            for number in range(MAX_PENDING_REQUESTS):
-                writer.write(make_request(trace=f"a{number}"))
+            writer.write(pipelined_requests(MAX_PENDING_REQUESTS))
             await script.wait_for(RequestArrived, MAX_PENDING_REQUESTS)
             writer.write(make_request(trace="b")[:40])
             await wait_until(lambda: only_connection(server).reader.backlog)
-            if is_reset:
-                client_socket = writer.get_extra_info("socket")
-                client_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
-                writer.transport.abort()
-            else:
-                writer.close()
+            leave(writer)
             await script.wait_for(RequestEnded, MAX_PENDING_REQUESTS)
             assert not server.open_request_count
 
@@ -128,8 +118,7 @@
     async with running_server(ScriptedDecider(leave_pending)) as server:
         [(reader, writer)] = await connect_clients(server, 1)
         connection = only_connection(server)
-        for number in range(MAX_PENDING_REQUESTS):
-            writer.write(make_request(trace=f"a{number}"))
+        writer.write(pipelined_requests(MAX_PENDING_REQUESTS))
         await wait_until(lambda: len(connection.pending) == MAX_PENDING_REQUESTS)
         connection.data_received(bytes(MAX_BACKLOG_BYTES))
         states = [connection.state]
@@ -150,8 +139,7 @@
     script = ScriptedDecider(leave_pending)
     async with running_server(script) as server:
         reader, writer = await server.connect_client()
-        for number in range(MAX_PENDING_REQUESTS):
-            writer.write(make_request(trace=f"a{number}"))
+        writer.write(pipelined_requests(MAX_PENDING_REQUESTS))
         await script.wait_for(RequestArrived, MAX_PENDING_REQUESTS)
         connection = only_connection(server)
         writer.write(make_request(trace="b0"))
@@ -186,5 +174,4 @@
         await wait_until(lambda: not server.proxy.open_trace_ids)
         _, to_server = await server.connect_client()
         to_server.write(make_request("file", "again"))
-        reader = await first_to_be_used(backend_reader, backend)
-        assert (await read_message(reader))[1]["x-trace-id"] == "again"
+        assert (await next_request(backend, (backend_reader, backend_writer)))[0] == "again"
--- a/tests/proxy/test_client_disconnect.py
+++ b/tests/proxy/test_client_disconnect.py
@@ -15,12 +15,15 @@
 import pytest
 
 from tests.client_side import (
+    CONCURRENCY_1_SETTINGS,
     LARGE_BODY,
     LONG_DEADLINE_CLASSES,
     SMALL_BUFFER_BYTES,
+    close,
     limit_send_buffer,
     only_connection,
     pipelined_requests,
+    reset,
     wait_until_released,
 )
 from tests.loopback import (
@@ -29,6 +32,7 @@
     FakeServer,
     RunningServer,
     ScriptedDecider,
+    Streams,
     endpoint_list_dict,
     forward_all,
     leave_pending,
@@ -42,6 +46,7 @@
     settings_dict,
     uvloop_test,
 )
+from tests.upstream_side import next_request
 from yardlane.decisions.actions import Action, StartAttempt
 from yardlane.decisions.events import AttemptEnded, Event, Outcome, RequestArrived, RequestEnded
 from yardlane.decisions.gateway import Gateway
@@ -51,18 +56,6 @@
 Disconnect = Callable[[asyncio.StreamWriter], None]
 
 NOT_RUN_RESPONSE = make_response(503, header_lines="X-Never-Ran: 1\r\n")  # allows a retry at another endpoint
-CONCURRENCY_1_SETTINGS = settings_dict(packages=[{**settings_dict()["packages"][0], "concurrency": 1}])
-
-
-def close(writer: asyncio.StreamWriter) -> None:
-    writer.close()
-
-
-def reset(writer: asyncio.StreamWriter) -> None:
-    client_socket = writer.get_extra_info("socket")
-    # With a linger time of 0, closing the socket sends a reset.
-    client_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
-    writer.transport.abort()
 
 
 def half_close(writer: asyncio.StreamWriter) -> None:
@@ -110,23 +103,11 @@
         await asyncio.sleep(0)
 
 
-async def answer_next_request(
-    backend: FakeServer, idle: tuple[asyncio.StreamReader, asyncio.StreamWriter]
-) -> str:
+async def answer_next_request(backend: FakeServer, idle: Streams) -> str:
     """Answer the next request, on the `idle` connection or a new one; return the request's trace id."""
-    on_idle = asyncio.ensure_future(read_message(idle[0]))
-    on_new = asyncio.ensure_future(backend.accept_connection())
-    done, _ = await asyncio.wait((on_idle, on_new), return_when=asyncio.FIRST_COMPLETED)
-    if on_new in done:  # the idle connection is still within its reuse delay
-        on_idle.cancel()
-        reader, writer = on_new.result()
-        message = await read_message(reader)
-    else:
-        on_new.cancel()
-        writer = idle[1]
-        message = on_idle.result()
+    trace, writer = await next_request(backend, idle)
     writer.write(make_response())
-    return message[1]["x-trace-id"]
+    return trace
 
 
 @parametrize_disconnect
--- a/tests/proxy/test_discovery_client.py
+++ b/tests/proxy/test_discovery_client.py
@@ -1,16 +1,12 @@
 """Tests that the endpoint list is kept up to date despite errors, outages and unexpected versions."""
 
 import asyncio
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
-from typing import Any
 
 from tests.discovery_responses import delta_response, snapshot_response
 from tests.loopback import (
     FakeServer,
-    RunningServer,
     ScriptedDecider,
-    Streams,
+    accept_poll,
     endpoint_list_dict,
     forward_all,
     leave_pending,
@@ -18,39 +14,16 @@
     make_response,
     member_dict,
     read_message,
-    running_server,
     running_server_with_backend,
+    running_server_with_discovery,
     settings_dict,
     uvloop_test,
 )
-from yardlane.decisions.decider import Decider
 from yardlane.decisions.events import EndpointListUpdate, EndpointState, UpdateKind
 
 FETCH_REQUEST_PREFIX = "GET /catalog/members HTTP"
 
 
-@asynccontextmanager
-async def running_server_with_discovery(
-    decider: Decider | None = None, **changes: Any
-) -> AsyncIterator[tuple[RunningServer, FakeServer]]:
-    """Run the whole program with a fake discovery, whose responses the test writes.
-
-    `changes` are keys of the configuration.
-    """
-    async with (
-        FakeServer() as discovery,
-        running_server(decider, discovery=f"127.0.0.1:{discovery.port}", **changes) as server,
-    ):
-        yield server, discovery
-
-
-async def accept_poll(discovery: FakeServer) -> Streams:
-    """Accept a connection from the discovery client, read its first request, and return the streams."""
-    reader, writer = await discovery.accept_connection()
-    await read_message(reader)
-    return reader, writer
-
-
 @uvloop_test
 async def test_cached_list_is_followed_by_updates_in_order() -> None:
     """A process starts with a cached list, and discovery then sends a newer list and a change to it.
--- a/tests/proxy/test_lists_without_length.py
+++ b/tests/proxy/test_lists_without_length.py
@@ -14,12 +14,14 @@
     HEALTH_CHECK,
     FakeServer,
     ScriptedDecider,
+    accept_poll,
     endpoint_list_dict,
     leave_pending,
     member_dict,
     read_message,
     read_status,
     running_server,
+    running_server_with_discovery,
     uvloop_test,
 )
 from tests.raw_sockets import REQUEST_MAX_BYTES, End, RawListener, write_and_end
@@ -52,10 +54,7 @@
     All of them were thrown away, so that a draining endpoint got requests for as long as this lasted.
     """
     decider = ScriptedDecider(leave_pending)
-    async with (
-        FakeServer() as discovery,
-        running_server(decider, discovery=f"127.0.0.1:{discovery.port}"),
-    ):
+    async with running_server_with_discovery(decider) as (_, discovery):
         body = snapshot_body(41, member_dict("s-1", 9))
         assert "index" not in await answer_poll(discovery, response_without_length(body))
         assert "index=41&" in await answer_poll(discovery, response_without_length(DRAINING_DELTA))
@@ -70,12 +69,8 @@
     """A process starts with an old cached list. It never learnt the real one and became ready without it."""
     decider = ScriptedDecider(leave_pending)
     cached = endpoint_list_dict(member_dict("s-old", 9), revision=3)
-    async with (
-        FakeServer() as discovery,
-        running_server(decider, discovery=f"127.0.0.1:{discovery.port}", known=cached) as server,
-    ):
-        reader, writer = await discovery.accept_connection()
-        await read_message(reader)
+    async with running_server_with_discovery(decider, known=cached) as (server, discovery):
+        _, writer = await accept_poll(discovery)
         client, to_server = await server.connect_client()
         to_server.write(HEALTH_CHECK)
         assert await read_status(client) == "503"
@@ -104,10 +99,7 @@
     @uvloop_test
     async def run() -> None:
         decider = ScriptedDecider(leave_pending)
-        async with (
-            FakeServer() as discovery,
-            running_server(decider, discovery=f"127.0.0.1:{discovery.port}"),
-        ):
+        async with running_server_with_discovery(decider) as (_, discovery):
             await answer_poll(discovery, snapshot_response(41, member_dict("s-1", 9)))
             assert "index=41&" in await answer_poll(discovery, response_without_length(DRAINING_DELTA[:cut]))
             assert "index" not in await next_poll(discovery)
--- a/tests/proxy/test_replaced_upstreams.py
+++ b/tests/proxy/test_replaced_upstreams.py
@@ -18,6 +18,7 @@
     RunningServer,
     ScriptedDecider,
     Streams,
+    accept_poll,
     forward_all,
     leave_pending,
     make_request,
@@ -25,11 +26,11 @@
     member_dict,
     read_message,
     read_status,
-    running_server,
+    running_server_with_discovery,
     uvloop_test,
 )
-from tests.upstream_side import accept_request, forward
-from yardlane.decisions.actions import Action, Fail, StartAttempt
+from tests.upstream_side import forward, serve_on_new_connection
+from yardlane.decisions.actions import Action
 from yardlane.decisions.events import (
     AttemptEnded,
     EndpointListUpdate,
@@ -61,8 +62,7 @@
     async def tell(self, *members: dict[str, Any], make_list: ListResponse = snapshot_response) -> None:
         """Answer the open poll with a list, and wait until the next poll shows that it has been applied."""
         if self.streams is None:
-            self.streams = await self.discovery.accept_connection()
-            await read_message(self.streams[0])
+            self.streams = await accept_poll(self.discovery)
         self.revision += 1
         self.streams[1].write(make_list(self.revision, *members))
         assert f"index={self.revision}&" in (await read_message(self.streams[0]))[0]
@@ -74,23 +74,11 @@
 ) -> AsyncIterator[tuple[RunningServer, ListSource]]:
     """Run the whole program with a discovery that the test controls."""
     decider = decider or ScriptedDecider(forward_all)
-    async with (
-        FakeServer() as discovery,
-        running_server(decider, discovery=f"127.0.0.1:{discovery.port}") as server,
-    ):
+    async with running_server_with_discovery(decider) as (server, discovery):
         server.pool.reuse_policy.reuse_delay_s = 0.0
         yield server, ListSource(discovery)
 
 
-async def serve(backend: FakeServer, client: Streams, trace: str) -> Streams:
-    """Serve a request of this client on a new connection to the backend; return the backend's streams."""
-    client[1].write(make_request(trace=trace))
-    reader, writer = await accept_request(backend, trace)
-    writer.write(make_response())
-    assert await read_status(client[0]) == "200"
-    return reader, writer
-
-
 @pytest.mark.parametrize("make_list", [snapshot_response, delta_response], ids=["snapshot", "delta"])
 def test_idle_connection_to_the_process_before_a_restart_is_not_reused(make_list: ListResponse) -> None:
     """The process of an endpoint is gone without a word, and a new one runs at the same address.
@@ -104,11 +92,11 @@
         async with FakeServer() as backend, running_server_with_list() as (server, lists):
             await lists.tell(member_dict("s-1", backend.port, up_since_ms=LONG_AGO_MS))
             client = await server.connect_client()
-            reader, _ = await serve(backend, client, "a1")
+            reader, _ = await serve_on_new_connection(client, backend, "a1")
             await lists.tell(member_dict("s-1", backend.port, up_since_ms=now_ms()), make_list=make_list)
             assert not server.pool.connections
             assert await reader.read() == b""
-            await serve(backend, client, "a2")
+            await serve_on_new_connection(client, backend, "a2")
 
     run()
 
@@ -120,7 +108,7 @@
         await lists.tell(member_dict("s-1", backend.port, up_since_ms=LONG_AGO_MS))
         started_at_ms = now_ms() - 10_000
         client = await server.connect_client()
-        reader, writer = await serve(backend, client, "a1")
+        reader, writer = await serve_on_new_connection(client, backend, "a1")
         await lists.tell(member_dict("s-1", backend.port, up_since_ms=started_at_ms))
         client[1].write(make_request(trace="a2"))
         assert (await read_message(reader))[1]["x-trace-id"] == "a2"
@@ -139,7 +127,7 @@
         assert await read_status(client[0]) == "200"
         assert not server.pool.connections
         assert await reader.read() == b""
-        await serve(backend, client, "a2")
+        await serve_on_new_connection(client, backend, "a2")
 
 
 @uvloop_test
@@ -164,11 +152,7 @@
     left = list(endpoint_ids)
 
     def reply(event: Event) -> list[Action]:
-        if isinstance(event, RequestArrived):
-            return [StartAttempt(event.request_id, left.pop(0))]
-        if isinstance(event, AttemptEnded) and not event.request_ended:
-            return [Fail(event.request_id)]
-        return []
+        return forward_all(event, left.pop(0) if isinstance(event, RequestArrived) else b"")
 
     return reply
 
@@ -184,11 +168,11 @@
     ):
         await lists.tell(member_dict("s-1", one.port), member_dict("s-2", two.port))
         client = await server.connect_client()
-        await serve(one, client, "a1")
-        await serve(two, client, "a2")
+        await serve_on_new_connection(client, one, "a1")
+        await serve_on_new_connection(client, two, "a2")
         await lists.tell(member_dict("s-1", two.port), member_dict("s-2", one.port))
-        await serve(two, client, "a3")
-        await serve(one, client, "a4")
+        await serve_on_new_connection(client, two, "a3")
+        await serve_on_new_connection(client, one, "a4")
 
 
 @pytest.mark.parametrize("is_told_before", [True, False], ids=["before its removal", "with its removal"])
@@ -201,10 +185,10 @@
         async with FakeServer() as backend, running_server_with_list(script) as (server, lists):
             await lists.tell(member_dict("s-1", backend.port))
             client = await server.connect_client()
-            reader, _ = await serve(backend, client, "a1")
+            reader, _ = await serve_on_new_connection(client, backend, "a1")
             old = [member_dict("s-1", backend.port)] if is_told_before else []
             await lists.tell(*old, member_dict("s-9", backend.port, up_since_ms=now_ms()))
-            await serve(backend, client, "a2")
+            await serve_on_new_connection(client, backend, "a2")
             if not is_told_before:
                 assert await reader.read() == b""
 
--- a/tests/upstream_side.py
+++ b/tests/upstream_side.py
@@ -17,6 +17,7 @@
     make_response,
     member_dict,
     read_message,
+    read_status,
     wait_until,
 )
 from yardlane.proxy.upstream_connection import UpstreamConnection
@@ -62,10 +63,29 @@
     to_proxy.write(make_request(trace=trace))
     reader, writer = await accept_request(backend, trace)
     writer.write(response)
-    await read_message(client_reader)
+    assert await read_status(client_reader) == "200"
     return reader, writer
 
 
+async def next_request(backend: FakeServer, idle: Streams) -> tuple[str, asyncio.StreamWriter]:
+    """Wait for the next request, on the `idle` connection or a new one.
+
+    Return the request's trace id and the writer for its response.
+    """
+    on_idle = asyncio.ensure_future(read_message(idle[0]))
+    on_new = asyncio.ensure_future(backend.accept_connection())
+    done, _ = await asyncio.wait((on_idle, on_new), return_when=asyncio.FIRST_COMPLETED)
+    if on_new in done:  # the idle connection is still within its reuse delay
+        on_idle.cancel()
+        reader, writer = on_new.result()
+        message = await read_message(reader)
+    else:
+        on_new.cancel()
+        writer = idle[1]
+        message = on_idle.result()
+    return message[1]["x-trace-id"], writer
+
+
 async def until_state(connection: UpstreamConnection, state: UpstreamState) -> None:
     """Run the event loop until the connection is in this state."""
     await wait_until(lambda: connection.state is state)
